--- /dev/null
+++ b/Makefile
@@ -0,0 +1,32 @@
+# `make demo` and `make test` each set a fresh machine up by themselves (Python 3.11, pip, venv).
+PYTHON ?= python3
+EXAMPLE ?= pinfold
+VENV := .venv
+STAMP := $(VENV)/installed
+
+.PHONY: demo test lint format clean
+
+$(STAMP): pyproject.toml requirements.lock
+	$(PYTHON) -m venv $(VENV)
+	$(VENV)/bin/pip install --quiet --requirement requirements.lock
+	$(VENV)/bin/pip install --quiet --no-deps --editable .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(VENV)/bin/crankseam validate examples/$(EXAMPLE)
+	$(VENV)/bin/crankseam bench run examples/$(EXAMPLE)/demo.toml --seed 1 --out build/demo-$(EXAMPLE)
+
+test: $(STAMP)
+	$(VENV)/bin/python -m pytest -q
+
+lint: $(STAMP)
+	$(VENV)/bin/ruff format --check src tests
+	$(VENV)/bin/ruff check src tests
+	$(VENV)/bin/mypy
+
+format: $(STAMP)
+	$(VENV)/bin/ruff format src tests
+	$(VENV)/bin/ruff check --fix src tests
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/src/crankseam/backoff.py
@@ -0,0 +1,83 @@
+"""Retry back-off with full jitter, and a retry budget."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import time
+from collections.abc import Callable
+
+
+class Backoff:
+    """Delays that grow with each failure: uniform in [0, min(cap, base * 2**failures)]."""
+
+    def __init__(self, base: float, cap: float, generator: random.Random | None = None) -> None:
+        self._base = base
+        self._cap = cap
+        self._random = generator or random.Random()
+        self._failures = 0
+
+    def reset(self) -> None:
+        """Forget earlier failures."""
+        self._failures = 0
+
+    def next_delay(self) -> float:
+        """Count one failure and return the seconds to wait after it."""
+        ceiling = min(self._cap, self._base * 2.0**self._failures)
+        self._failures = min(self._failures + 1, 30)
+        return self._random.uniform(0.0, ceiling)
+
+
+class TokenBucket:
+    """Allows `rate` events a second with bursts of `burst`."""
+
+    def __init__(
+        self, rate: float, burst: float, clock: Callable[[], float] = time.monotonic
+    ) -> None:
+        self._rate = rate
+        self._burst = burst
+        self._clock = clock
+        self._tokens = burst
+        self._updated = clock()
+
+    def _refill(self) -> None:
+        now = self._clock()
+        self._tokens = min(self._burst, self._tokens + (now - self._updated) * self._rate)
+        self._updated = now
+
+    def try_take(self) -> bool:
+        """Take one token if there is one."""
+        self._refill()
+        if self._tokens < 1.0:
+            return False
+        self._tokens -= 1.0
+        return True
+
+    def _seconds_until_token(self) -> float:
+        self._refill()
+        return max(0.0, (1.0 - self._tokens) / self._rate)
+
+    async def take(self) -> None:
+        """Take one token, waiting for it if need be."""
+        while not self.try_take():
+            await asyncio.sleep(self._seconds_until_token())
+
+
+class RetryBudget:
+    """Retries may be at most a fixed share of first attempts, so that retries make no storm."""
+
+    def __init__(self, ratio: float, reserve: float) -> None:
+        self._ratio = ratio
+        self._reserve = reserve
+        self._balance = reserve
+
+    def count_attempt(self) -> None:
+        """Count a first attempt, which earns a share of a retry."""
+        self._balance = min(self._reserve, self._balance + self._ratio)
+
+    def try_spend(self) -> bool:
+        """Spend one retry if the budget has one."""
+        if self._balance < 1.0:
+            return False
+        self._balance -= 1.0
+        return True
--- /dev/null
+++ b/src/crankseam/cli/common.py
@@ -0,0 +1,93 @@
+"""Arguments and helpers that several verbs share."""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+import json
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import aiohttp
+
+from crankseam.clients.key_value import KeyValueClient
+from crankseam.errors import CrankseamError
+
+T = TypeVar("T")
+NODE_TIMEOUT_SECONDS = 5.0
+
+
+class NodeUnreachable(CrankseamError):
+    """No node answered the operator's question."""
+
+
+def add_files(parser: argparse.ArgumentParser) -> None:
+    """The declarative files or folders."""
+    parser.add_argument("files", nargs="+", type=Path, help="YAML files or folders of them")
+
+
+def add_key_value(parser: argparse.ArgumentParser) -> None:
+    """Where the key-value service is."""
+    parser.add_argument(
+        "--key-value",
+        action="append",
+        required=True,
+        metavar="HOST:PORT",
+        help="key-value service; may be given several times",
+    )
+
+
+def add_node(parser: argparse.ArgumentParser, required: bool = True) -> None:
+    """Which nodes to ask."""
+    parser.add_argument(
+        "--node",
+        action="append",
+        required=required,
+        metavar="HOST:PORT",
+        help="caller address of a node; may be given several times",
+    )
+
+
+def add_json(parser: argparse.ArgumentParser) -> None:
+    """Machine-readable output."""
+    parser.add_argument("--json", action="store_true", help="print JSON")
+
+
+def with_key_value(endpoints: list[str], work: Callable[[KeyValueClient], Awaitable[T]]) -> T:
+    """Run `work` with a client of the key-value service."""
+
+    async def run() -> T:
+        client = KeyValueClient(endpoints)
+        try:
+            return await work(client)
+        finally:
+            await client.close()
+
+    return asyncio.run(run())
+
+
+async def ask_nodes(nodes: list[str], path: str) -> Any:
+    """GET `path` from the first node that answers; the decoded JSON.
+
+    Raises:
+        NodeUnreachable: none gave an answer.
+    """
+    timeout = aiohttp.ClientTimeout(total=NODE_TIMEOUT_SECONDS)
+    problems = []
+    async with aiohttp.ClientSession(timeout=timeout) as session:
+        for node in nodes:
+            try:
+                async with session.get(f"http://{node}{path}") as answer:
+                    content = await answer.json(content_type=None)
+                    if answer.status == 200:
+                        return content
+                    problems.append(f"{node}: {content.get('detail', answer.status)}")
+            except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                problems.append(f"{node}: {type(error).__name__}")
+    raise NodeUnreachable("; ".join(problems))
+
+
+def print_json(content: Any) -> None:
+    """Print indented JSON."""
+    print(json.dumps(content, indent=2, sort_keys=True, default=str))
--- /dev/null
+++ b/src/crankseam/cli/status.py
@@ -0,0 +1,40 @@
+"""Show members, their configuration revisions, and back ends.
+
+Any node can be asked.
+"""
+
+from __future__ import annotations
+
+import argparse
+import asyncio
+
+from crankseam.cli import exit_codes
+from crankseam.cli.common import add_json, add_node, ask_nodes, print_json
+
+
+def add_arguments(parser: argparse.ArgumentParser) -> None:
+    """Which node, and output form."""
+    add_node(parser)
+    add_json(parser)
+
+
+def run(arguments: argparse.Namespace) -> int:
+    """Ask and print."""
+    status = asyncio.run(ask_nodes(arguments.node, "/operator/status"))
+    if arguments.json:
+        print_json(status)
+        return exit_codes.OK
+    print(f"revision {status['revision']}, asked of {status['node']}")
+    for member in status["members"]:
+        print(
+            f"  {member['name']:<24} {member['zone']:<20} {member['status']:<8}"
+            f" revision {member['revision']}"
+        )
+    for back_end in status["back_ends"]:
+        state = back_end["out_of_routing"] or "in routing"
+        version = f" version {back_end['version']}" if back_end["version"] >= 0 else ""
+        print(
+            f"  {back_end['group']}/{back_end['name']:<16} load {back_end['load']:g}"
+            f"{version} {state}"
+        )
+    return exit_codes.OK
--- /dev/null
+++ b/src/crankseam/clients/__init__.py
@@ -0,0 +1,1 @@
+"""One client module for each outside system."""
--- /dev/null
+++ b/src/crankseam/clients/key_value.py
@@ -0,0 +1,226 @@
+"""Client of the key-value service: the etcd v3 HTTP/JSON gateway (range, txn, lease, watch)."""
+
+from __future__ import annotations
+
+import base64
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+from typing import Any
+
+import aiohttp
+import msgspec
+
+from crankseam.backoff import TokenBucket
+from crankseam.errors import (
+    KeyValueError,
+    KeyValueOutcomeUnknown,
+    KeyValueThrottled,
+    KeyValueUnavailable,
+)
+
+REQUESTS_PER_SECOND = 20.0
+BURST = 40.0
+
+
+@dataclass(frozen=True)
+class KeyValue:
+    """One key as the service holds it. Revisions are the service's own counters."""
+
+    key: str
+    value: bytes
+    create_revision: int
+    mod_revision: int
+
+
+@dataclass(frozen=True)
+class Put:
+    """Write `value` under `key`, bound to a lease if one is named."""
+
+    key: str
+    value: bytes
+    lease: int = 0
+
+
+@dataclass(frozen=True)
+class Delete:
+    """Remove `key`."""
+
+    key: str
+
+
+@dataclass(frozen=True)
+class Unchanged:
+    """Condition: the key's mod_revision is this one (0: the key does not exist)."""
+
+    key: str
+    mod_revision: int
+
+
+def _encode(text: str | bytes) -> str:
+    raw = text.encode() if isinstance(text, str) else text
+    return base64.b64encode(raw).decode()
+
+
+def _decode_key_value(raw: dict[str, Any]) -> KeyValue:
+    return KeyValue(
+        key=base64.b64decode(raw["key"]).decode(),
+        value=base64.b64decode(raw.get("value", "")),
+        create_revision=int(raw.get("create_revision", 0)),
+        mod_revision=int(raw.get("mod_revision", 0)),
+    )
+
+
+def prefix_end(prefix: str) -> str:
+    """The first key after all keys that start with `prefix`."""
+    return prefix[:-1] + chr(ord(prefix[-1]) + 1)
+
+
+class KeyValueClient:
+    """Typed access to the service; every failure is a `KeyValueError`.
+
+    Args:
+        endpoints: host:port of each gateway, tried in turn.
+        timeout: seconds for one request.
+    """
+
+    def __init__(self, endpoints: list[str], timeout: float = 2.0) -> None:
+        self._endpoints = endpoints
+        self._timeout = aiohttp.ClientTimeout(total=timeout)
+        self._bucket = TokenBucket(REQUESTS_PER_SECOND, BURST)
+        self._session: aiohttp.ClientSession | None = None
+        self._current = 0
+        self.requests_sent = 0
+
+    def _open_session(self) -> aiohttp.ClientSession:
+        if self._session is None:
+            self._session = aiohttp.ClientSession()
+        return self._session
+
+    async def close(self) -> None:
+        """Close the connections."""
+        if self._session is not None:
+            await self._session.close()
+
+    async def _call(self, path: str, body: dict[str, Any], is_write: bool) -> dict[str, Any]:
+        await self._bucket.take()
+        self.requests_sent += 1
+        url = f"http://{self._endpoints[self._current]}{path}"
+        try:
+            async with self._open_session().post(url, json=body, timeout=self._timeout) as answer:
+                return await self._read_answer(answer, is_write)
+        except aiohttp.ClientConnectorError as error:
+            self._try_next_endpoint()
+            raise KeyValueUnavailable("no connection") from error
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            self._try_next_endpoint()
+            if is_write:
+                raise KeyValueOutcomeUnknown("the answer was lost") from error
+            raise KeyValueUnavailable("no answer") from error
+
+    async def _read_answer(self, answer: aiohttp.ClientResponse, is_write: bool) -> dict[str, Any]:
+        content = await answer.read()
+        if answer.status == 200:
+            return msgspec.json.decode(content)
+        if answer.status == 429:
+            raise KeyValueThrottled("rate limit")
+        if answer.status == 503:
+            raise KeyValueUnavailable("service unavailable")
+        if is_write and answer.status >= 500:
+            raise KeyValueOutcomeUnknown(f"status {answer.status}")
+        raise KeyValueError(f"status {answer.status}")
+
+    def _try_next_endpoint(self) -> None:
+        self._current = (self._current + 1) % len(self._endpoints)
+
+    async def get(self, key: str) -> KeyValue | None:
+        """Read one key; None if it does not exist."""
+        found = await self._range({"key": _encode(key)})
+        return found[0] if found else None
+
+    async def get_prefix(self, prefix: str, limit: int = 0) -> list[KeyValue]:
+        """Read all keys that start with `prefix`, in order of key."""
+        body = {"key": _encode(prefix), "range_end": _encode(prefix_end(prefix)), "limit": limit}
+        return await self._range(body)
+
+    async def get_last(self, prefix: str, limit: int) -> list[KeyValue]:
+        """Read the `limit` highest keys that start with `prefix`, highest first."""
+        body = {
+            "key": _encode(prefix),
+            "range_end": _encode(prefix_end(prefix)),
+            "limit": limit,
+            "sort_order": "DESCEND",
+            "sort_target": "KEY",
+        }
+        return await self._range(body)
+
+    async def _range(self, body: dict[str, Any]) -> list[KeyValue]:
+        answer = await self._call("/v3/kv/range", body, is_write=False)
+        return [_decode_key_value(raw) for raw in answer.get("kvs", [])]
+
+    async def transact(self, conditions: list[Unchanged], writes: list[Put | Delete]) -> bool:
+        """Make all writes if all conditions hold; return whether they did.
+
+        Raises:
+            KeyValueOutcomeUnknown: the answer was lost; read back to learn what happened.
+            KeyValueUnavailable: nothing was changed.
+        """
+        body = {
+            "compare": [self._encode_condition(condition) for condition in conditions],
+            "success": [self._encode_write(write) for write in writes],
+        }
+        answer = await self._call("/v3/kv/txn", body, is_write=True)
+        return bool(answer.get("succeeded", False))
+
+    @staticmethod
+    def _encode_condition(condition: Unchanged) -> dict[str, Any]:
+        return {
+            "key": _encode(condition.key),
+            "target": "MOD",
+            "result": "EQUAL",
+            "mod_revision": str(condition.mod_revision),
+        }
+
+    @staticmethod
+    def _encode_write(write: Put | Delete) -> dict[str, Any]:
+        if isinstance(write, Delete):
+            return {"request_delete_range": {"key": _encode(write.key)}}
+        put = {"key": _encode(write.key), "value": _encode(write.value)}
+        if write.lease:
+            put["lease"] = str(write.lease)
+        return {"request_put": put}
+
+    async def grant_lease(self, seconds: int) -> int:
+        """Get a lease that lapses after `seconds` without a keep-alive; return its id."""
+        answer = await self._call("/v3/lease/grant", {"TTL": str(seconds)}, is_write=True)
+        return int(answer["ID"])
+
+    async def keep_alive(self, lease: int) -> bool:
+        """Renew a lease; False when it has lapsed."""
+        answer = await self._call("/v3/lease/keepalive", {"ID": str(lease)}, is_write=False)
+        return int(answer.get("result", {}).get("TTL", 0)) > 0
+
+    async def revoke_lease(self, lease: int) -> None:
+        """End a lease and delete the keys bound to it."""
+        await self._call("/v3/lease/revoke", {"ID": str(lease)}, is_write=True)
+
+    async def watch(self, key: str) -> AsyncIterator[KeyValue]:
+        """Yield the key's value at each change until the stream breaks.
+
+        Raises:
+            KeyValueUnavailable: the stream broke; read the key and watch again.
+        """
+        body = {"create_request": {"key": _encode(key)}}
+        url = f"http://{self._endpoints[self._current]}/v3/watch"
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=2.0)
+        self.requests_sent += 1
+        try:
+            async with self._open_session().post(url, json=body, timeout=timeout) as answer:
+                if answer.status != 200:
+                    raise KeyValueUnavailable("watch refused")
+                async for line in answer.content:
+                    for event in msgspec.json.decode(line)["result"].get("events", []):
+                        yield _decode_key_value(event["kv"])
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError, ValueError) as error:
+            self._try_next_endpoint()
+            raise KeyValueUnavailable("watch broke") from error
+        raise KeyValueUnavailable("watch ended")
--- /dev/null
+++ b/src/crankseam/clients/sampler.py
@@ -0,0 +1,163 @@
+"""Client of samplers: OpenAI-style completions over server-sent events, and fenced orders."""
+
+from __future__ import annotations
+
+from collections.abc import AsyncIterator
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from crankseam.errors import CrankseamError
+
+DATA_PREFIX = b"data: "
+END_OF_STREAM = b"[DONE]"
+
+
+class SamplerError(CrankseamError):
+    """The sampler did not finish what it was asked for."""
+
+
+class SamplerRefused(SamplerError):
+    """The sampler turned the request down before it began."""
+
+
+class SamplerStreamBroke(SamplerError):
+    """The stream ended before its last chunk."""
+
+
+class OrderRefused(SamplerError):
+    """The order's fence is older than one the sampler has seen."""
+
+
+class OrderFailed(SamplerError):
+    """The order was taken and failed, such as a weight load that broke off."""
+
+
+class TokenChunk(msgspec.Struct):
+    """Some tokens, and the weight version that truly made them."""
+
+    tokens: list[int]
+    version: int
+    finished: bool = False
+
+
+class SamplerState(msgspec.Struct):
+    """What a sampler says of its weights."""
+
+    serving: int
+    loaded: list[int]
+    loading: int | None = None
+    fence: int = 0
+
+
+class _Choice(msgspec.Struct):
+    token_ids: list[int]
+    finish_reason: str | None = None
+
+
+class _Completion(msgspec.Struct):
+    choices: list[_Choice]
+    weight_version: int
+
+
+@dataclass(frozen=True)
+class CompletionRequest:
+    """One completion to generate.
+
+    Attributes:
+        prior_tokens: tokens already generated elsewhere, to go on from.
+        priority: lower numbers run first.
+    """
+
+    request_id: str
+    prompt: str
+    max_tokens: int
+    prior_tokens: list[int]
+    priority: int
+
+
+class SamplerClient:
+    """Talks to any sampler by its address."""
+
+    def __init__(self, session: aiohttp.ClientSession, silence_timeout: float) -> None:
+        self._session = session
+        self._silence = silence_timeout
+
+    async def complete(self, address: str, request: CompletionRequest) -> AsyncIterator[TokenChunk]:
+        """Yield chunks until the completion is whole; closing the generator cancels it.
+
+        Raises:
+            SamplerRefused: nothing was generated.
+            SamplerStreamBroke: the stream ended early; the chunks so far are valid.
+        """
+        body = {
+            "prompt": request.prompt,
+            "prior_token_ids": request.prior_tokens,
+            "max_tokens": request.max_tokens,
+            "stream": True,
+            "priority": request.priority,
+            "request_id": request.request_id,
+        }
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0, sock_read=self._silence)
+        url = f"http://{address}/v1/completions"
+        try:
+            async with self._session.post(url, json=body, timeout=timeout) as answer:
+                if answer.status != 200:
+                    raise SamplerRefused(f"status {answer.status}")
+                async for chunk in _read_events(answer):
+                    yield chunk
+                    if chunk.finished:
+                        return
+        except aiohttp.ClientConnectorError as error:
+            raise SamplerRefused("no connection") from error
+        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+            raise SamplerStreamBroke(type(error).__name__) from error
+        raise SamplerStreamBroke("ended without a last chunk")
+
+    async def state(self, address: str) -> SamplerState:
+        """What the sampler serves and has loaded. Raises SamplerError."""
+        try:
+            timeout = aiohttp.ClientTimeout(total=2.0)
+            url = f"http://{address}/admin/state"
+            async with self._session.get(url, timeout=timeout) as answer:
+                answer.raise_for_status()
+                return msgspec.json.decode(await answer.read(), type=SamplerState)
+        except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
+            raise SamplerError(type(error).__name__) from error
+
+    async def load(self, address: str, version: int, source: str, fence: int) -> None:
+        """Have the sampler load a version beside the one it serves; returns when it is loaded."""
+        await self._order(address, "load", {"version": version, "source": source, "fence": fence})
+
+    async def switch(self, address: str, version: int, fence: int) -> None:
+        """Have the sampler serve a loaded version."""
+        await self._order(address, "switch", {"version": version, "fence": fence})
+
+    async def _order(self, address: str, order: str, body: dict[str, int | str]) -> None:
+        timeout = aiohttp.ClientTimeout(total=120.0, sock_connect=1.0)
+        url = f"http://{address}/admin/{order}"
+        try:
+            async with self._session.post(url, json=body, timeout=timeout) as answer:
+                if answer.status == 409:
+                    raise OrderRefused(order)
+                if answer.status != 200:
+                    raise OrderFailed(f"{order}: status {answer.status}")
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise OrderFailed(f"{order}: {type(error).__name__}") from error
+
+
+async def _read_events(answer: aiohttp.ClientResponse) -> AsyncIterator[TokenChunk]:
+    async for line in answer.content:
+        if not line.startswith(DATA_PREFIX):
+            continue
+        data = line[len(DATA_PREFIX) :].strip()
+        if data == END_OF_STREAM:
+            return
+        try:
+            completion = msgspec.json.decode(data, type=_Completion)
+        except msgspec.DecodeError as error:
+            raise SamplerStreamBroke("malformed event") from error
+        choice = completion.choices[0]
+        finished = choice.finish_reason is not None
+        yield TokenChunk(choice.token_ids, completion.weight_version, finished)
--- /dev/null
+++ b/src/crankseam/cluster/__init__.py
@@ -0,0 +1,1 @@
+"""Membership, digests and the configuration lease of a node."""
--- /dev/null
+++ b/src/crankseam/cluster/liveness.py
@@ -0,0 +1,59 @@
+"""When a relay declares a member of its zone dead."""
+
+from __future__ import annotations
+
+import time
+from collections.abc import Callable, Iterable
+
+
+class LivenessJudge:
+    """Remembers when each member was last heard, here or by the zone's other relays.
+
+    A member is dead when no relay of its zone has heard it for `dead_after` seconds. A relay that
+    was itself stopped (its own loop made a pause) starts counting anew: the silence was its own.
+
+    Args:
+        dead_after: silence in seconds.
+        own_pause: a gap between two ticks longer than this counts as a pause of this process.
+    """
+
+    def __init__(
+        self,
+        dead_after: float,
+        own_pause: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self._dead_after = dead_after
+        self._own_pause = own_pause
+        self._clock = clock
+        self._heard_at: dict[str, float] = {}
+        self._last_tick = clock()
+
+    def hear(self, names: Iterable[str]) -> None:
+        """Note that these members showed life just now."""
+        now = self._clock()
+        for name in names:
+            self._heard_at[name] = now
+
+    def heard_within(self, seconds: float) -> list[str]:
+        """Members heard in the last `seconds`."""
+        since = self._clock() - seconds
+        return [name for name, at in self._heard_at.items() if at >= since]
+
+    def tick(self) -> None:
+        """Must be called regularly; a late call reveals a pause of this process."""
+        now = self._clock()
+        if now - self._last_tick > self._own_pause:
+            for name in self._heard_at:
+                self._heard_at[name] = now
+        self._last_tick = now
+
+    def silent(self, names: Iterable[str]) -> list[str]:
+        """Those of `names` that are to be declared dead. A name seen first starts counting."""
+        now = self._clock()
+        since = now - self._dead_after
+        return [name for name in names if self._heard_at.setdefault(name, now) < since]
+
+    def forget(self, name: str) -> None:
+        """Stop counting for a member."""
+        self._heard_at.pop(name, None)
--- /dev/null
+++ b/src/crankseam/config/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' declarative files: kinds, reading, planning and snapshots."""
--- /dev/null
+++ b/src/crankseam/controllers/__init__.py
@@ -0,0 +1,1 @@
+"""Controllers that reconcile target state with current state."""
--- /dev/null
+++ b/src/crankseam/controllers/back_end_watch.py
@@ -0,0 +1,161 @@
+"""Watches back ends: each by two nodes of its zone, whose reports travel in the digest."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from dataclasses import dataclass
+
+import aiohttp
+import msgspec
+
+from crankseam.clients.load_report import LoadReport, fetch_load_report
+from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
+from crankseam.config.kinds import BackEnd
+from crankseam.config.snapshot import Snapshot
+from crankseam.peers.messages import BackEndReport
+from crankseam.records.slots import ranked
+
+log = logging.getLogger(__name__)
+
+WATCHERS_PER_BACK_END = 2
+RENEW_SECONDS = 5.0
+"""An unchanged report is sent again this often, so that others know it is not stale."""
+
+LOAD_STEP = 2
+LOAD_RATIO = 0.15
+"""A load is reported again once it moved by more than both of these."""
+
+FAILURES_UNTIL_DEAD = 2
+
+
+@dataclass(frozen=True)
+class Target:
+    """One back end of the configuration, named `service/back end`."""
+
+    name: str
+    back_end: BackEnd
+    region: str
+
+
+def all_targets(snapshot: Snapshot) -> list[Target]:
+    """Every back end and sampler of a snapshot."""
+    targets = []
+    for service in snapshot.services.values():
+        for back_end in service.back_ends:
+            name = f"{service.name}/{back_end.name}"
+            targets.append(Target(name, back_end, service.home_region))
+    for pool in snapshot.pools.values():
+        for sampler in pool.samplers:
+            targets.append(Target(f"{pool.name}/{sampler.name}", sampler, pool.home_region))
+    return targets
+
+
+class BackEndWatchController:
+    """Polls the back ends that fall to this node, one task each."""
+
+    def __init__(self, agent: ClusterAgent, session: aiohttp.ClientSession) -> None:
+        self._agent = agent
+        self._session = session
+        self._interval = agent.settings.timing.watch_interval
+        self._watches: dict[str, asyncio.Task[None]] = {}
+        self._reports: dict[str, BackEndReport] = {}
+        self._sent_at: dict[str, float] = {}
+        self._notes: dict[str, list[BackEndReport]] = {}
+        self._sequence = 0
+        agent.membership.observed_reports = self.current_reports
+
+    def current_reports(self) -> list[BackEndReport]:
+        """This node's newest reports, for its heartbeat."""
+        notes = [note for group in self._notes.values() for note in group]
+        return [*self._reports.values(), *notes]
+
+    def publish_notes(self, source: str, notes: list[BackEndReport]) -> None:
+        """Send a controller's own notes on back ends along; unchanged ones are renewed rarely."""
+        previous = {note.target: note for note in self._notes.get(source, [])}
+        renewed = []
+        for note in notes:
+            old = previous.get(note.target)
+            age = (note.sequence - old.sequence) / 1000 if old else RENEW_SECONDS
+            if old is not None and old.set_aside == note.set_aside and age < RENEW_SECONDS:
+                renewed.append(old)
+                continue
+            renewed.append(note)
+            self._agent.digest.learn_report(note)
+        self._notes[source] = renewed
+
+    async def run(self) -> None:
+        """Start and stop watches as the configuration and the members change."""
+        while True:
+            self._reconcile()
+            await asyncio.sleep(self._interval)
+
+    def _reconcile(self) -> None:
+        wanted = {t.name: t for t in all_targets(self._agent.lease.snapshot) if self._is_mine(t)}
+        for name in list(self._watches):
+            if name not in wanted:
+                self._watches.pop(name).cancel()
+                self._reports.pop(name, None)
+        for name, target in wanted.items():
+            if name not in self._watches:
+                self._watches[name] = self._agent.tasks.start(self._watch(target), f"watch {name}")
+
+    def _is_mine(self, target: Target) -> bool:
+        digest = self._agent.digest
+        candidates = digest.alive_in_zone(target.back_end.zone)
+        if not candidates:
+            candidates = digest.alive_in_region(target.region)
+        chosen = ranked(f"watch/{target.name}", candidates)[:WATCHERS_PER_BACK_END]
+        return any(member.name == self._agent.settings.name for member in chosen)
+
+    async def _watch(self, target: Target) -> None:
+        failures = 0
+        while True:
+            started = time.monotonic()
+            load = await fetch_load_report(
+                self._session, target.back_end.address, self._agent.settings.timing.peer_timeout
+            )
+            failures = 0 if load is not None else failures + 1
+            if load is not None or failures >= FAILURES_UNTIL_DEAD:
+                self._report(target, load)
+            elapsed = time.monotonic() - started
+            await asyncio.sleep(max(0.05, self._interval - elapsed))
+
+    def _report(self, target: Target, load: LoadReport | None) -> None:
+        previous = self._reports.get(target.name)
+        report = self._build(target, load)
+        if previous is not None and not self._is_news(previous, report):
+            return
+        self._sequence = max(self._sequence + 1, wall_milliseconds())
+        report = msgspec.structs.replace(report, sequence=self._sequence)
+        self._reports[target.name] = report
+        self._sent_at[target.name] = time.monotonic()
+        self._agent.digest.learn_report(report)
+        if previous is None or previous.leaving != report.leaving or previous.alive != report.alive:
+            self._agent.membership.nudge()
+
+    def _build(self, target: Target, load: LoadReport | None) -> BackEndReport:
+        # A back end that does not answer keeps its leaving flag: silence takes nothing back.
+        previous = self._reports.get(target.name)
+        was_leaving = previous.leaving if previous else False
+        return BackEndReport(
+            target=target.name,
+            watcher=self._agent.settings.name,
+            sequence=0,
+            alive=load is not None,
+            leaving=load.leaving if load else was_leaving,
+            running=load.running if load else 0,
+            waiting=load.waiting if load else 0,
+            version=load.version if load else -1,
+            zone=self._agent.settings.zone,
+        )
+
+    def _is_news(self, old: BackEndReport, new: BackEndReport) -> bool:
+        if time.monotonic() - self._sent_at[new.target] > RENEW_SECONDS:
+            return True
+        if (old.alive, old.leaving, old.version) != (new.alive, new.leaving, new.version):
+            return True
+        before = old.running + old.waiting
+        moved = abs(new.running + new.waiting - before)
+        return moved >= LOAD_STEP and moved > before * LOAD_RATIO
--- /dev/null
+++ b/src/crankseam/controllers/founding.py
@@ -0,0 +1,123 @@
+"""Founds a region's replica sets, and founds a slot anew when a majority of it is gone for good.
+
+A slot whose majority is gone has lost its records. Its new set refuses ids dated before the loss
+(the floor), so that no request that may have run is run again.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import msgspec
+
+from crankseam.backoff import Backoff
+from crankseam.clients.key_value import Put, Unchanged
+from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
+from crankseam.constants import FOUNDING_PREFIX, REPLICAS_PER_SLOT
+from crankseam.errors import KeyValueError
+from crankseam.peers.messages import ReplicaSet
+from crankseam.records.slots import desired_members, majority
+
+log = logging.getLogger(__name__)
+
+POLL_SECONDS = 1.0
+FOUNDING_PATIENCE_SECONDS = 3.0
+REFOUNDED_EPOCH_STEP = 1000
+"""Far above any epoch that the lost set may have reached unseen."""
+
+FLOOR_MARGIN_MILLISECONDS = 5_000
+"""Ids may be dated by clocks that run ahead by this much."""
+
+
+class FoundingRecord(msgspec.Struct):
+    """What the key-value service holds: the founded sets of one region."""
+
+    generation: int
+    sets: list[ReplicaSet]
+
+
+class FoundingController:
+    """Sees to it that every slot of the region has a replica set with a living majority."""
+
+    def __init__(self, agent: ClusterAgent) -> None:
+        self._agent = agent
+        self._key = f"{FOUNDING_PREFIX}{agent.settings.region}"
+        self._patience = agent.settings.timing.heartbeat_interval * FOUNDING_PATIENCE_SECONDS
+        self._backoff = Backoff(0.5, 10.0)
+
+    async def run(self) -> None:
+        """Reconcile until cancelled."""
+        await asyncio.sleep(self._patience)
+        while True:
+            try:
+                await self._reconcile()
+                self._backoff.reset()
+                await asyncio.sleep(POLL_SECONDS)
+            except KeyValueError:
+                await asyncio.sleep(POLL_SECONDS + self._backoff.next_delay())
+
+    async def _reconcile(self) -> None:
+        unfounded = self._unfounded_slots()
+        lost = self._lost_slots()
+        if not unfounded and not lost:
+            return
+        held = await self._agent.key_value.get(self._key)
+        if held is not None:
+            record = msgspec.msgpack.decode(held.value, type=FoundingRecord)
+            for replica_set in record.sets:
+                self._agent.learn_replica_set(replica_set)
+            lost = self._lost_slots()
+            if not lost:
+                return
+        else:
+            record = FoundingRecord(0, [])
+        if not self._agent.membership.is_first_of_region():
+            return
+        await self._found(record, held.mod_revision if held else 0, lost)
+
+    def _unfounded_slots(self) -> list[int]:
+        known = self._agent.digest.slots
+        return [s for s in range(self._agent.settings.record_slots) if known.get(s) is None]
+
+    def _lost_slots(self) -> list[ReplicaSet]:
+        return [s for s in self._agent.digest.slots.all() if self._is_lost(s)]
+
+    def _is_lost(self, replica_set: ReplicaSet) -> bool:
+        """A majority of the set has certainly ended: each was followed by a later run.
+
+        A member that is merely silent may be paused or cut off and could still vote, so silence
+        never counts.
+        """
+        ended = sum(self._has_ended(identity) for identity in replica_set.members)
+        return ended > len(replica_set.members) - majority(replica_set)
+
+    def _has_ended(self, identity: str) -> bool:
+        name, _, incarnation = identity.rpartition("@")
+        member = self._agent.digest.member(name)
+        return member is not None and member.incarnation > int(incarnation)
+
+    async def _found(self, record: FoundingRecord, revision: int, lost: list[ReplicaSet]) -> None:
+        candidates = self._agent.digest.alive_in_region(self._agent.settings.region)
+        if not record.sets and len(candidates) < REPLICAS_PER_SLOT:
+            log.info("founding with few nodes", extra={"nodes": len(candidates)})
+        sets = {replica_set.slot: replica_set for replica_set in record.sets}
+        floor = wall_milliseconds() + FLOOR_MARGIN_MILLISECONDS if record.sets else 0
+        lost_epochs = {replica_set.slot: replica_set.epoch for replica_set in lost}
+        for slot in range(self._agent.settings.record_slots):
+            if slot in sets and slot not in lost_epochs:
+                continue
+            epoch = lost_epochs[slot] + REFOUNDED_EPOCH_STEP if slot in lost_epochs else 1
+            members = desired_members(self._agent.settings.region, slot, candidates)
+            sets[slot] = ReplicaSet(slot, epoch, members, floor, founded=True)
+        new = FoundingRecord(record.generation + 1, list(sets.values()))
+        written = await self._agent.key_value.transact(
+            [Unchanged(self._key, revision)], [Put(self._key, msgspec.msgpack.encode(new))]
+        )
+        if written:
+            log.warning(
+                "replica sets founded", extra={"generation": new.generation, "lost": len(lost)}
+            )
+            for replica_set in new.sets:
+                self._agent.learn_replica_set(replica_set)
+            self._agent.membership.nudge()
--- /dev/null
+++ b/src/crankseam/controllers/limit_shares.py
@@ -0,0 +1,193 @@
+"""One limit shared by many nodes: each holds a leased share and asks for more ahead of need.
+
+The shares of a limit stand in one replicated record. A node uses its share for one term after it
+last renewed it; any node may take back a share that was not renewed for longer than that. So the
+sum of the shares in use never passes the limit, also while nodes are cut off from each other.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+
+import msgspec
+
+from crankseam.cluster.agent import ClusterAgent
+from crankseam.config.kinds import Limit
+from crankseam.errors import RecordError
+
+log = logging.getLogger(__name__)
+
+RENEWALS_PER_TERM = 4
+HEADROOM_FRACTION = 0.5
+MIN_HEADROOM = 1
+
+
+class Share(msgspec.Struct, array_like=True):
+    """What one node holds of a limit."""
+
+    amount: int
+    sequence: int
+    """Raised at each renewal; a standing sequence shows that the holder stopped renewing."""
+    wants_more: bool = False
+
+
+class ShareTable(msgspec.Struct, array_like=True):
+    """All shares of one limit, by the holder's identity."""
+
+    shares: dict[str, Share] = {}
+
+
+class LimitShare:
+    """This node's share of one limit.
+
+    Args:
+        term: seconds for which a renewed share may be used.
+        margin: seconds by which the holder stops earlier, and a reclaimer waits longer.
+    """
+
+    def __init__(
+        self,
+        holder: str,
+        total: int,
+        term: float,
+        margin: float,
+        clock: Callable[[], float] = time.monotonic,
+    ) -> None:
+        self.holder = holder
+        self.total = total
+        self.used = 0
+        self._term = term
+        self._margin = margin
+        self._clock = clock
+        self._amount = 0
+        self._valid_until = 0.0
+        self._sequence = 0
+        self._seen: dict[str, tuple[int, float]] = {}
+        self.wants_more = False
+
+    def amount(self) -> int:
+        """How many requests this node may have in flight now."""
+        return self._amount if self._clock() < self._valid_until else 0
+
+    def try_acquire(self) -> bool:
+        """Count one request in flight if the share allows it."""
+        if self.used >= self.amount():
+            self.wants_more = True
+            return False
+        self.used += 1
+        return True
+
+    def release(self) -> None:
+        """Count one request less."""
+        self.used -= 1
+
+    def renew_in(self, table: ShareTable) -> ShareTable:
+        """The table with this node's share renewed and lapsed shares of others taken back."""
+        others = {h: s for h, s in table.shares.items() if h != self.holder}
+        living = {h: s for h, s in others.items() if not self._has_lapsed(h, s)}
+        taken = sum(share.amount for share in living.values())
+        wish = self._wish(any(share.wants_more for share in living.values()))
+        amount = max(0, min(wish, self.total - taken))
+        own = Share(amount, self._sequence + 1, self.wants_more and amount < wish)
+        return ShareTable({**living, self.holder: own})
+
+    def _wish(self, others_want: bool) -> int:
+        headroom = max(MIN_HEADROOM, round(self.used * HEADROOM_FRACTION))
+        if self.wants_more:
+            return self.used + headroom * 2
+        return self.used if others_want else self.used + headroom
+
+    def _has_lapsed(self, holder: str, share: Share) -> bool:
+        now = self._clock()
+        sequence, since = self._seen.get(holder, (-1, now))
+        if sequence != share.sequence:
+            self._seen[holder] = (share.sequence, now)
+            return False
+        return now - since > self._term + self._margin
+
+    def prepare_renewal(self, wish_at_most: int | None = None) -> None:
+        """Lower the usable amount before a renewal that may shrink it."""
+        if wish_at_most is not None:
+            self._amount = min(self._amount, wish_at_most)
+
+    def confirm(self, table: ShareTable, asked_at: float) -> None:
+        """Take the agreed table; the share's term counts from when the renewal was asked for."""
+        own = table.shares.get(self.holder)
+        if own is None:
+            self._amount = 0
+            return
+        self._sequence = own.sequence
+        self._amount = own.amount
+        self._valid_until = asked_at + self._term - self._margin
+        if not own.wants_more:
+            self.wants_more = False
+
+
+class LimitShareController:
+    """Holds this node's share of every limit whose target has its home in this region."""
+
+    def __init__(self, agent: ClusterAgent) -> None:
+        self._agent = agent
+        self._timing = agent.settings.timing
+        self._shares: dict[str, LimitShare] = {}
+        self._renewing: dict[str, asyncio.Lock] = {}
+
+    async def run(self) -> None:
+        """Renew all shares, several times a term, until cancelled."""
+        while True:
+            for limit in self._limits():
+                self._agent.tasks.start(self.renew(limit), f"limit {limit.name}")
+            await asyncio.sleep(self._timing.limit_term / RENEWALS_PER_TERM)
+
+    def _limits(self) -> list[Limit]:
+        return list(self._agent.lease.snapshot.limits.values())
+
+    def share_of(self, limit: Limit) -> LimitShare:
+        """This node's share, made when first asked for."""
+        share = self._shares.get(limit.name)
+        if share is None:
+            timing = self._timing
+            share = LimitShare(
+                self._agent.identity, limit.max_in_flight, timing.limit_term, timing.clock_margin
+            )
+            self._shares[limit.name] = share
+        share.total = limit.max_in_flight
+        return share
+
+    async def acquire(self, limit: Limit) -> bool:
+        """Count one request against the limit; False when all is in use."""
+        share = self.share_of(limit)
+        if share.try_acquire():
+            return True
+        await self.renew(limit)
+        return share.try_acquire()
+
+    async def renew(self, limit: Limit) -> None:
+        """Renew the share in the agreed table; one renewal at a time."""
+        lock = self._renewing.setdefault(limit.name, asyncio.Lock())
+        if lock.locked():
+            async with lock:
+                return  # the renewal that was running did it for this caller too
+        async with lock:
+            await self._renew(self.share_of(limit), limit)
+
+    async def _renew(self, share: LimitShare, limit: Limit) -> None:
+        asked_at = time.monotonic()
+        where = self._agent.locate(f"limit/{limit.name}")
+
+        def change(standing: bytes | None) -> bytes:
+            table = msgspec.msgpack.decode(standing, type=ShareTable) if standing else ShareTable()
+            renewed = share.renew_in(table)
+            share.prepare_renewal(renewed.shares[share.holder].amount)
+            return msgspec.msgpack.encode(renewed)
+
+        try:
+            value = await self._agent.proposer.change(where, change)
+        except RecordError as error:
+            log.info("share not renewed", extra={"limit": limit.name, "error": str(error)})
+            return
+        assert value is not None
+        share.confirm(msgspec.msgpack.decode(value, type=ShareTable), asked_at)
--- /dev/null
+++ b/src/crankseam/node.py
@@ -0,0 +1,235 @@
+"""One serving node: wires agent, controllers, request chain and rollout together."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+import time
+from typing import Protocol
+
+import aiohttp
+import msgspec
+from aiohttp import web
+
+from crankseam.clients.key_value import KeyValueClient
+from crankseam.clients.sampler import SamplerClient
+from crankseam.cluster.agent import ClusterAgent
+from crankseam.cluster.digest import MemberStatus
+from crankseam.constants import DECISION_HEADER, REQUEST_ID_HEADER
+from crankseam.controllers.back_end_watch import BackEndWatchController
+from crankseam.controllers.configuration_follower import ConfigurationFollower
+from crankseam.controllers.founding import FoundingController
+from crankseam.controllers.limit_shares import LimitShareController
+from crankseam.controllers.machines import MachineListController
+from crankseam.controllers.replica_placement import ReplicaPlacementController
+from crankseam.controllers.retention import RetentionController
+from crankseam.controllers.weights import WeightsController
+from crankseam.decisions import DecisionLog
+from crankseam.errors import Problem
+from crankseam.metrics import NodeMetrics
+from crankseam.operator_api import OperatorApi
+from crankseam.peers.messages import Member
+from crankseam.peers.transport import PeerTransport
+from crankseam.problems import problem_response
+from crankseam.requests.claim import ClaimFilter, RefusalFilter, RequestClaims
+from crankseam.requests.context import RequestContext, build_chain
+from crankseam.requests.forward import Forwarder, trace_first_byte
+from crankseam.requests.identify import ConfigurationFilter, DeadlineFilter, IdentifyFilter
+from crankseam.requests.limits import AdmissionFilter, ServiceLimitFilter
+from crankseam.rollout.generation import SampleGenerator
+from crankseam.rollout.service import RolloutService
+from crankseam.routing import Router
+from crankseam.settings import NodeSettings
+from crankseam.tls import TlsKeys
+
+log = logging.getLogger(__name__)
+
+SAMPLER_SILENCE_SECONDS = 10.0
+DRAIN_POLL_SECONDS = 0.05
+BACK_END_CONNECTIONS = 1000
+
+
+class Controller(Protocol):
+    """Reconciles some state until cancelled."""
+
+    async def run(self) -> None:
+        """Reconcile forever."""
+        ...
+
+
+class Node:
+    """Starts and stops all parts of one process."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        self.settings = settings
+        self.key_value = KeyValueClient(settings.key_value)
+        self.agent = ClusterAgent(settings, self.key_value)
+        self.tls = TlsKeys(settings.tls)
+        self.metrics = NodeMetrics()
+        self.admission = AdmissionFilter(settings.max_requests)
+        self.caller_port = 0
+        self._stopping = False
+
+    # --- start
+
+    async def start(self) -> None:
+        """Join the others and serve callers."""
+        self._session = aiohttp.ClientSession(
+            trace_configs=[trace_first_byte()],
+            connector=aiohttp.TCPConnector(limit=BACK_END_CONNECTIONS),
+            auto_decompress=False,
+        )
+        app = web.Application(client_max_size=16 * 1024 * 1024)
+        self._runner = web.AppRunner(app, handle_signals=False, shutdown_timeout=1.0)
+        await self._bind_agent()
+        self._build(app)
+        await self._runner.setup()
+        site = web.TCPSite(
+            self._runner,
+            self.settings.listen_host,
+            self.settings.caller_port,
+            ssl_context=self.tls.callers_context(),
+        )
+        await site.start()
+        assert site._server is not None
+        self.caller_port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
+        self.agent.own = self._with_caller_address()
+        self.agent.update_own()
+        self._start_controllers()
+        log.info("node started", extra={"identity": self.agent.identity})
+
+    async def _bind_agent(self) -> None:
+        settings = self.settings
+        local = (settings.bind_outgoing, 0) if settings.bind_outgoing else None
+        transport = PeerTransport(
+            settings.name, 0, local, self.tls.peer_server_context, self.tls.peer_client_context
+        )
+        await self.agent.start(transport, caller_address="")
+
+    def _with_caller_address(self) -> Member:
+        address = f"{self.settings.listen_host}:{self.caller_port}"
+        return msgspec.structs.replace(self.agent.own, caller_address=address)
+
+    def _build(self, app: web.Application) -> None:
+        agent = self.agent
+        generator = random.Random(agent.identity)
+        self.router = Router(agent.digest, self.settings.zone, generator)
+        self.decisions = DecisionLog(agent)
+        self.limits = LimitShareController(agent)
+        self.watch = BackEndWatchController(agent, self._session)
+        self.placement = ReplicaPlacementController(agent)
+        self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
+        sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
+        self.rollout = RolloutService(agent, SampleGenerator(sampler, self.router, self.decisions))
+        claims = RequestClaims(agent)
+        # The way of an app request, first to last.
+        self._chain = build_chain(
+            [
+                IdentifyFilter(self.settings.timing.record_retention),
+                DeadlineFilter(),
+                RefusalFilter(claims),
+                ConfigurationFilter(agent.lease),
+                self.admission,
+                ServiceLimitFilter(self.limits),
+                ClaimFilter(claims),
+            ],
+            Forwarder(self._session, self.router, self.decisions),
+        )
+        app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
+        self.rollout.add_routes(app)
+        OperatorApi(self).add_routes(app)
+        app.middlewares.append(self._answer_problems)
+
+    def _start_controllers(self) -> None:
+        agent = self.agent
+        controllers: dict[str, Controller] = {
+            "founding": FoundingController(agent),
+            "placement": self.placement,
+            "configuration": ConfigurationFollower(agent),
+            "retention": RetentionController(agent),
+            "back ends": self.watch,
+            "machines": MachineListController(agent, self.router),
+            "limits": self.limits,
+            "weights": self.weights,
+            "decisions": self.decisions,
+        }
+        for name, controller in controllers.items():
+            agent.tasks.start(controller.run(), name)
+        agent.tasks.start(self.tls.watch_files(), "tls")
+
+    # --- requests
+
+    @web.middleware
+    async def _answer_problems(self, request: web.Request, handler) -> web.StreamResponse:  # type: ignore[no-untyped-def]
+        try:
+            return await handler(request)
+        except Problem as problem:
+            self.metrics.count_problem(problem)
+            return problem_response(problem, {})
+
+    async def _handle_service(self, request: web.Request) -> web.StreamResponse:
+        context = RequestContext(
+            http=request,
+            service_name=request.match_info["service"],
+            path=request.match_info["path"],
+        )
+        started = time.monotonic()
+        try:
+            answer = await self._chain(context)
+        except Problem as problem:
+            self.metrics.count_problem(problem)
+            return problem_response(problem, self._answer_headers(context))
+        finally:
+            self.metrics.observe_request(context.service_name, time.monotonic() - started)
+        if answer.response is not None:
+            return answer.response
+        headers = {**answer.headers, **self._answer_headers(context)}
+        return web.Response(status=answer.status, headers=headers, body=answer.body)
+
+    @staticmethod
+    def _answer_headers(context: RequestContext) -> dict[str, str]:
+        headers = {REQUEST_ID_HEADER: context.request_id}
+        if context.decision is not None:
+            headers[DECISION_HEADER] = context.decision.decision_id
+        return headers
+
+    def is_ready(self) -> bool:
+        """Whether this node takes new work."""
+        return self.agent.lease.is_held() and not self._stopping
+
+    # --- stop
+
+    async def stop_gracefully(self) -> None:
+        """A planned stop: take no new work, finish what runs, hand records and duties over."""
+        self._stopping = True
+        self.admission.draining = True
+        self.rollout.draining = True
+        self.agent.update_own(status=MemberStatus.LEAVING)
+        self.agent.membership.nudge()
+        log.info("planned stop begins", extra={"running": self.admission.running})
+        await self.weights.release()
+        try:
+            async with asyncio.timeout(self.settings.timing.drain_timeout):
+                await self._drain()
+        except TimeoutError:
+            log.warning("planned stop cut short", extra={"running": self.admission.running})
+        await self.decisions.flush()
+        log.info("planned stop ends", extra={"running": self.admission.running})
+        await self.close()
+
+    async def _drain(self) -> None:
+        while not self._is_drained():  # noqa: ASYNC110 - counters, not an event, decide
+            await asyncio.sleep(DRAIN_POLL_SECONDS)
+
+    def _is_drained(self) -> bool:
+        busy = self.admission.running or self.rollout.streams
+        return not busy and not self.placement.is_needed()
+
+    async def close(self) -> None:
+        """Stop at once."""
+        await self.rollout.close()
+        await self._runner.cleanup()
+        await self.agent.close()
+        await self._session.close()
+        await self.key_value.close()
--- /dev/null
+++ b/src/crankseam/operator_api.py
@@ -0,0 +1,108 @@
+"""HTTP paths for operators and probes: status, explain, metrics, health."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+from aiohttp import web
+
+from crankseam.cluster.digest import MemberStatus
+from crankseam.errors import NotFound
+
+if TYPE_CHECKING:
+    from crankseam.node import Node
+
+
+class OperatorApi:
+    """Read-only: operators change files, never single machines."""
+
+    def __init__(self, node: Node) -> None:
+        self._node = node
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register the paths."""
+        app.router.add_get("/healthz", self._healthz)
+        app.router.add_get("/readyz", self._readyz)
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_get("/operator/status", self._status)
+        app.router.add_get("/operator/explain/{id:.+}", self._explain)
+
+    async def _healthz(self, _request: web.Request) -> web.Response:
+        return web.Response(text="ok\n")
+
+    async def _readyz(self, _request: web.Request) -> web.Response:
+        ready = self._node.is_ready()
+        return web.Response(
+            text="ready\n" if ready else "not ready\n", status=200 if ready else 503
+        )
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        node = self._node
+        values = {
+            "configuration_revision": node.agent.lease.snapshot.revision,
+            "configuration_lease_seconds": max(0.0, node.agent.lease.remaining()),
+            "members_alive": len(node.agent.digest.alive()),
+            "records": node.agent.replicas.record_count(),
+            "record_operations": node.agent.replicas.operations,
+            "requests_running": node.admission.running,
+            "peer_bytes_sent": node.agent.transport.current_bytes_out(),
+            "peer_frames_sent": node.agent.transport.traffic.frames_out,
+            "key_value_requests": node.key_value.requests_sent,
+            "slot_moves": node.placement.moves,
+        }
+        for name, value in values.items():
+            node.metrics.set_gauge(name, value)
+        return web.Response(body=node.metrics.render(), content_type="text/plain")
+
+    async def _status(self, _request: web.Request) -> web.Response:
+        agent = self._node.agent
+        members = [
+            {
+                "name": member.name,
+                "region": member.region,
+                "zone": member.zone,
+                "status": MemberStatus(member.status).name.lower(),
+                "revision": member.revision,
+                "caller_address": member.caller_address,
+            }
+            for member in sorted(agent.digest.members(), key=lambda m: m.name)
+        ]
+        body: dict[str, Any] = {
+            "node": self._node.settings.name,
+            "ready": self._node.is_ready(),
+            "revision": agent.lease.snapshot.revision,
+            "lease_seconds": round(max(0.0, agent.lease.remaining()), 3),
+            "configuration_term": agent.settings.timing.configuration_term,
+            "members": members,
+            "back_ends": self._back_ends(),
+            "slots": [
+                {"slot": s.slot, "epoch": s.epoch, "members": s.members}
+                for s in sorted(agent.digest.slots.all(), key=lambda s: s.slot)
+            ],
+        }
+        return web.Response(body=msgspec.json.encode(body), content_type="application/json")
+
+    def _back_ends(self) -> list[dict[str, Any]]:
+        node = self._node
+        snapshot = node.agent.lease.snapshot
+        groups = [(s.name, s.back_ends) for s in snapshot.services.values()]
+        groups += [(p.name, p.samplers) for p in snapshot.pools.values()]
+        return [
+            {
+                "group": name,
+                "name": candidate.name,
+                "load": candidate.load,
+                "version": candidate.version,
+                "out_of_routing": candidate.refused,
+            }
+            for name, back_ends in groups
+            for candidate in node.router.choose(name, back_ends).candidates
+        ]
+
+    async def _explain(self, request: web.Request) -> web.Response:
+        wanted = request.match_info["id"]
+        found = await self._node.decisions.find(wanted)
+        if not found:
+            raise NotFound(f"no decision is kept for {wanted}")
+        return web.Response(body=msgspec.json.encode(found), content_type="application/json")
--- /dev/null
+++ b/src/crankseam/peers/__init__.py
@@ -0,0 +1,1 @@
+"""Frames and connections between nodes."""
--- /dev/null
+++ b/src/crankseam/peers/transport.py
@@ -0,0 +1,308 @@
+"""Calls between nodes: length-prefixed frames on one TCP connection for each pair of nodes."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import logging
+import ssl
+from collections.abc import Awaitable, Callable
+from dataclasses import dataclass, field
+from typing import TypeVar
+
+import msgspec
+
+from crankseam.constants import MAX_FRAME_BYTES
+from crankseam.errors import FrameError, PeerError, PeerTimeout, PeerUnreachable
+from crankseam.peers.messages import (
+    AnyMessage,
+    Frame,
+    Hello,
+    Message,
+    Refusal,
+    decode_frame,
+    encode_frame,
+)
+
+log = logging.getLogger(__name__)
+
+Handler = Callable[[str, AnyMessage], Awaitable[AnyMessage | None]]
+"""Called with the peer's name and its message; None sends no answer."""
+
+M = TypeVar("M", bound=Message)
+
+CONNECT_TIMEOUT = 1.0
+HELLO_TIMEOUT = 5.0
+MAX_CALLS_BEING_HANDLED = 1024
+"""Per connection; further frames wait in the socket, which bounds memory."""
+
+
+async def read_frame(reader: asyncio.StreamReader) -> Frame:
+    """Read one frame.
+
+    Raises:
+        FrameError: the bytes are no frame.
+        asyncio.IncompleteReadError: the connection ended.
+    """
+    size = int.from_bytes(await reader.readexactly(4), "big")
+    if not 0 < size <= MAX_FRAME_BYTES:
+        raise FrameError(f"frame of {size} bytes")
+    body = await reader.readexactly(size)
+    try:
+        return decode_frame(body)
+    except (msgspec.DecodeError, UnicodeDecodeError, RecursionError) as error:
+        raise FrameError("not a frame of this protocol") from error
+
+
+class FrameWriter:
+    """Joins the frames queued within one turn of the event loop into one write."""
+
+    def __init__(self, writer: asyncio.StreamWriter) -> None:
+        self._writer = writer
+        self._queued: list[bytes] = []
+        self.bytes_sent = 0
+
+    def send(self, frame: Frame) -> None:
+        """Queue a frame; it leaves at the end of this turn of the loop."""
+        if not self._queued:
+            asyncio.get_running_loop().call_soon(self._flush)
+        self._queued.append(encode_frame(frame))
+
+    def _flush(self) -> None:
+        data = b"".join(self._queued)
+        self._queued.clear()
+        self.bytes_sent += len(data)
+        if not self._writer.is_closing():
+            self._writer.write(data)
+
+    def close(self) -> None:
+        """Close the connection."""
+        self._writer.close()
+
+
+@dataclass
+class TrafficCount:
+    """Bytes and frames of a node's peer connections since it started."""
+
+    bytes_out: int = 0
+    bytes_in: int = 0
+    frames_out: int = 0
+    by_type: dict[str, int] = field(default_factory=dict)
+
+    def count_out(self, message: AnyMessage) -> None:
+        """Count one message sent."""
+        self.frames_out += 1
+        name = type(message).__name__
+        self.by_type[name] = self.by_type.get(name, 0) + 1
+
+
+class OutgoingConnection:
+    """A connection to one peer: one task reads the answers to the calls made on it."""
+
+    def __init__(self, address: str, transport: PeerTransport) -> None:
+        self._address = address
+        self._transport = transport
+        self._numbers = itertools.count(1)
+        self._waiting: dict[int, asyncio.Future[AnyMessage]] = {}
+        self._writer: FrameWriter | None = None
+        self._reader_task: asyncio.Task[None] | None = None
+        self._connecting = asyncio.Lock()
+
+    async def _connect(self) -> FrameWriter:
+        async with self._connecting:
+            if self._writer is not None:
+                return self._writer
+            host, _, port = self._address.rpartition(":")
+            try:
+                async with asyncio.timeout(CONNECT_TIMEOUT):
+                    reader, writer = await asyncio.open_connection(
+                        host,
+                        int(port),
+                        ssl=self._transport.client_tls(),
+                        local_addr=self._transport.local_address,
+                    )
+            except (OSError, TimeoutError, ssl.SSLError) as error:
+                raise PeerUnreachable(self._address) from error
+            self._writer = FrameWriter(writer)
+            hello = Hello(self._transport.node, self._transport.incarnation)
+            self._writer.send(Frame(0, False, hello))
+            self._reader_task = asyncio.create_task(self._read_answers(reader))
+            return self._writer
+
+    async def _read_answers(self, reader: asyncio.StreamReader) -> None:
+        try:
+            while True:
+                frame = await read_frame(reader)
+                waiter = self._waiting.pop(frame.call, None)
+                if waiter is not None and not waiter.done():
+                    waiter.set_result(frame.message)
+        except (OSError, asyncio.IncompleteReadError, FrameError):
+            pass
+        finally:
+            self._break()
+
+    def _break(self) -> None:
+        if self._writer is not None:
+            self._transport.traffic.bytes_out += self._writer.bytes_sent
+            self._writer.close()
+            self._writer = None
+        for waiter in self._waiting.values():
+            if not waiter.done():
+                waiter.set_exception(PeerUnreachable(self._address))
+        self._waiting.clear()
+
+    async def call(self, message: AnyMessage, timeout: float) -> AnyMessage:
+        """Send a message and return its answer; raises PeerError."""
+        number = next(self._numbers)
+        try:
+            async with asyncio.timeout(timeout):
+                writer = self._writer or await self._connect()
+                waiter = asyncio.get_running_loop().create_future()
+                self._waiting[number] = waiter
+                writer.send(Frame(number, False, message))
+                self._transport.traffic.count_out(message)
+                return await waiter
+        except TimeoutError as error:
+            raise PeerTimeout(self._address) from error
+        finally:
+            self._waiting.pop(number, None)
+
+    def close(self) -> None:
+        """End the connection and fail the calls that wait on it."""
+        if self._reader_task is not None:
+            self._reader_task.cancel()
+        self._break()
+
+
+class PeerTransport:
+    """A node's side of all its peer connections.
+
+    Args:
+        node: this node's name.
+        incarnation: this process's incarnation.
+        local_address: (host, port 0) to call from, or None.
+        server_tls: returns the TLS context for listening, or None for plain TCP.
+        client_tls: returns the TLS context for calling, or None.
+    """
+
+    def __init__(
+        self,
+        node: str,
+        incarnation: int,
+        local_address: tuple[str, int] | None = None,
+        server_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+        client_tls: Callable[[], ssl.SSLContext | None] = lambda: None,
+    ) -> None:
+        self.node = node
+        self.incarnation = incarnation
+        self.local_address = local_address
+        self.client_tls = client_tls
+        self.traffic = TrafficCount()
+        self._server_tls = server_tls
+        self._handlers: dict[type, Handler] = {}
+        self._connections: dict[str, OutgoingConnection] = {}
+        self._server: asyncio.Server | None = None
+        self._incoming: set[FrameWriter] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+
+    def handle(self, message_type: type[Message], handler: Handler) -> None:
+        """Have `handler` answer messages of this type."""
+        self._handlers[message_type] = handler
+
+    async def listen(self, host: str, port: int) -> int:
+        """Start listening; return the port (chosen by the system if 0 was given)."""
+        self._server = await asyncio.start_server(
+            self._serve_connection, host, port, ssl=self._server_tls()
+        )
+        return self._server.sockets[0].getsockname()[1]
+
+    async def close(self) -> None:
+        """Stop listening and close every connection."""
+        if self._server is not None:
+            self._server.close()
+        for connection in self._connections.values():
+            connection.close()
+        for writer in list(self._incoming):
+            writer.close()
+        for task in list(self._tasks):
+            task.cancel()
+
+    async def call(self, address: str, message: Message, timeout: float) -> AnyMessage:
+        """Send a message to the peer at `address` and return its answer.
+
+        Raises:
+            PeerUnreachable: no connection, it broke, or the peer refused the call.
+            PeerTimeout: no answer within `timeout` seconds.
+        """
+        connection = self._connections.get(address)
+        if connection is None:
+            connection = OutgoingConnection(address, self)
+            self._connections[address] = connection
+        answer = await connection.call(message, timeout)  # type: ignore[arg-type]
+        if isinstance(answer, Refusal):
+            raise PeerUnreachable(f"{address} refused: {answer.reason}")
+        return answer
+
+    async def call_for(
+        self, address: str, message: Message, answer_type: type[M], timeout: float
+    ) -> M:
+        """Like `call`, for a message that has one type of answer."""
+        answer = await self.call(address, message, timeout)
+        if not isinstance(answer, answer_type):
+            raise PeerUnreachable(f"{address} answered with {type(answer).__name__}")
+        return answer
+
+    async def _serve_connection(
+        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        frames = FrameWriter(writer)
+        self._incoming.add(frames)
+        running = asyncio.Semaphore(MAX_CALLS_BEING_HANDLED)
+        try:
+            async with asyncio.timeout(HELLO_TIMEOUT):
+                first = await read_frame(reader)
+            if not isinstance(first.message, Hello):
+                raise FrameError("no hello")
+            while True:
+                frame = await read_frame(reader)
+                await running.acquire()
+                task = asyncio.create_task(self._answer(first.message.node, frame, frames, running))
+                self._tasks.add(task)
+                task.add_done_callback(self._tasks.discard)
+        except FrameError as error:
+            log.warning("peer sent a bad frame", extra={"reason": str(error)})
+        except (OSError, asyncio.IncompleteReadError, TimeoutError, ssl.SSLError):
+            pass
+        except asyncio.CancelledError:
+            pass  # asyncio's server cancels these tasks at shutdown; nothing to undo
+        finally:
+            self._incoming.discard(frames)
+            self.traffic.bytes_out += frames.bytes_sent
+            frames.close()
+
+    async def _answer(
+        self, peer: str, frame: Frame, writer: FrameWriter, running: asyncio.Semaphore
+    ) -> None:
+        try:
+            handler = self._handlers.get(type(frame.message))
+            answer: AnyMessage | None
+            if handler is None:
+                answer = Refusal("no handler")
+            else:
+                answer = await handler(peer, frame.message)
+        except PeerError as error:
+            answer = Refusal(type(error).__name__)
+        except Exception as error:
+            log.exception("peer message failed", extra={"peer": peer})
+            answer = Refusal(type(error).__name__)
+        finally:
+            running.release()
+        if answer is not None and frame.call:
+            self.traffic.count_out(answer)
+            writer.send(Frame(frame.call, True, answer))
+
+    def current_bytes_out(self) -> int:
+        """Bytes sent so far, over closed and open connections."""
+        open_writers = [c._writer for c in self._connections.values() if c._writer is not None]
+        live = sum(writer.bytes_sent for writer in [*open_writers, *self._incoming])
+        return self.traffic.bytes_out + live
--- /dev/null
+++ b/src/crankseam/problems.py
@@ -0,0 +1,33 @@
+"""Problem documents (RFC 9457) for callers."""
+
+from __future__ import annotations
+
+import math
+
+import msgspec
+from aiohttp import web
+
+from crankseam.errors import Problem
+
+PROBLEM_CONTENT_TYPE = "application/problem+json"
+PROBLEM_TYPE_PREFIX = "urn:crankseam:problem:"
+
+
+def problem_response(problem: Problem, headers: dict[str, str]) -> web.Response:
+    """The answer that tells a caller what happened, what became of the request, and when to
+    come back."""
+    body = {
+        "type": PROBLEM_TYPE_PREFIX + problem.type,
+        "title": problem.type.replace("-", " "),
+        "status": problem.status,
+        "detail": problem.detail,
+        "outcome": problem.outcome,
+    }
+    if problem.retry_after is not None:
+        headers = {**headers, "Retry-After": str(max(1, math.ceil(problem.retry_after)))}
+    return web.Response(
+        status=problem.status,
+        body=msgspec.json.encode(body),
+        content_type=PROBLEM_CONTENT_TYPE,
+        headers=headers,
+    )
--- /dev/null
+++ b/src/crankseam/records/__init__.py
@@ -0,0 +1,1 @@
+"""Replicated records: registers agreed by a majority of three replicas."""
--- /dev/null
+++ b/src/crankseam/records/reconfigurer.py
@@ -0,0 +1,112 @@
+"""Moves a slot to a new replica set, with its state, without the key-value service.
+
+The next set is itself agreed by a majority of the old one, in a register of the slot. Then a
+majority of the old set is sealed (it refuses all further operations of the epoch) and hands over
+its registers; the merged state is installed on a majority of the new set before it serves.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import msgspec
+
+from crankseam.errors import NoQuorum
+from crankseam.peers.messages import (
+    Done,
+    Install,
+    Message,
+    Promise,
+    ReadRecord,
+    ReplicaSet,
+    Seal,
+    SlotState,
+    StoredRecord,
+)
+from crankseam.records.proposer import Caller, Proposer, RecordKey
+from crankseam.records.replica import UNDATED
+from crankseam.records.slots import SlotTable, majority
+
+log = logging.getLogger(__name__)
+
+NEXT_SET_KEY = "next-replica-set"
+HANDOVER_TIMEOUT = 5.0
+
+
+class Reconfigurer:
+    """Carries out epoch changes."""
+
+    def __init__(self, caller: Caller, proposer: Proposer, slots: SlotTable) -> None:
+        self._caller = caller
+        self._proposer = proposer
+        self._slots = slots
+
+    async def move(self, current: ReplicaSet, members: list[str]) -> ReplicaSet:
+        """Move a slot from `current` to `members`; return the set that was agreed.
+
+        Raises:
+            NoQuorum: too few replicas of the old or new set answered; it can be tried again.
+        """
+        agreed = await self._agree(current, members)
+        state = await self._seal(current, agreed)
+        await self._install(agreed, state)
+        self._slots.learn(agreed)
+        log.info("slot moved", extra={"slot": agreed.slot, "epoch": agreed.epoch})
+        return agreed
+
+    async def finish(self, old: ReplicaSet, agreed: ReplicaSet) -> None:
+        """Complete a move that its maker may have left half done; harmless if it is complete."""
+        if await self.is_installed(agreed):
+            return
+        state = await self._seal(old, agreed)
+        await self._install(agreed, state)
+
+    async def is_installed(self, replica_set: ReplicaSet) -> bool:
+        """Whether a majority of the set serves its epoch."""
+        probe = ReadRecord(replica_set.slot, replica_set.epoch, NEXT_SET_KEY)
+        answers = await self._ask_all(replica_set.members, probe)
+        serving = sum(isinstance(answer, Promise) for answer in answers)
+        return serving >= majority(replica_set)
+
+    async def _agree(self, current: ReplicaSet, members: list[str]) -> ReplicaSet:
+        wish = ReplicaSet(current.slot, current.epoch + 1, members, current.floor)
+        where = RecordKey(current.slot, f"{NEXT_SET_KEY}/{current.epoch}", UNDATED)
+        encoded = msgspec.msgpack.encode(wish)
+        value = await self._proposer.change(where, lambda standing: standing or encoded)
+        assert value is not None
+        agreed = msgspec.msgpack.decode(value, type=ReplicaSet)
+        if agreed.epoch != current.epoch + 1:
+            raise NoQuorum(f"slot {current.slot} has moved on")
+        return agreed
+
+    async def _seal(self, current: ReplicaSet, agreed: ReplicaSet) -> SlotState:
+        message = Seal(current.slot, current.epoch, agreed)
+        answers = await self._ask_all(current.members, message)
+        states = [answer for answer in answers if isinstance(answer, SlotState)]
+        if len(states) < majority(current):
+            raise NoQuorum(f"sealed {len(states)} replicas of slot {current.slot}")
+        return merge_states(states)
+
+    async def _install(self, agreed: ReplicaSet, state: SlotState) -> None:
+        answers = await self._ask_all(agreed.members, Install(agreed, state))
+        installed = sum(isinstance(answer, Done) for answer in answers)
+        if installed < majority(agreed):
+            raise NoQuorum(f"installed {installed} replicas of slot {agreed.slot}")
+
+    async def _ask_all(self, members: list[str], message: Message) -> list[object]:
+        calls = [self._caller.call_identity(m, message, HANDOVER_TIMEOUT) for m in members]
+        return list(await asyncio.gather(*calls, return_exceptions=True))
+
+
+def merge_states(states: list[SlotState]) -> SlotState:
+    """For each register the value accepted at the highest ballot, so every agreed value."""
+    merged: dict[str, StoredRecord] = {}
+    for state in states:
+        for record in state.records:
+            standing = merged.get(record.key)
+            if standing is None or standing.accepted < record.accepted:
+                merged[record.key] = record
+    forgotten = max(state.forgotten for state in states)
+    kept = [record for record in merged.values() if not record.key.startswith(NEXT_SET_KEY)]
+    return SlotState(kept, forgotten)
--- /dev/null
+++ b/src/crankseam/records/replica.py
@@ -0,0 +1,235 @@
+"""One node's replicas: registers in memory, each changed only by ballots of its slot's epoch."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+
+from crankseam.peers.messages import (
+    FAST_BALLOT,
+    Accept,
+    Accepted,
+    AnyMessage,
+    Ballot,
+    Done,
+    Expired,
+    Install,
+    Prepare,
+    Promise,
+    ReadRecord,
+    Rejected,
+    ReplicaSet,
+    Seal,
+    SlotState,
+    StaleEpoch,
+    StoredRecord,
+)
+
+log = logging.getLogger(__name__)
+
+
+@dataclass(slots=True)
+class Register:
+    """One record: the highest ballot promised, and what was last accepted."""
+
+    dated: int
+    promised: Ballot = FAST_BALLOT
+    accepted: Ballot | None = None
+    value: bytes | None = None
+
+
+@dataclass
+class Slot:
+    """One slot's registers at one epoch."""
+
+    replica_set: ReplicaSet
+    registers: dict[str, Register] = field(default_factory=dict)
+    forgotten: int = 0
+    """Newest date (milliseconds) of a record that was dropped."""
+    sealed_by: ReplicaSet | None = None
+
+
+UNDATED = 0
+"""Date of records that are never dropped, such as the configuration register."""
+
+
+class ReplicaStore:
+    """All slots of which this node is a replica.
+
+    Args:
+        identity: this process as `node@incarnation`; a restarted node is another replica.
+        learn: called with each replica set that this store hears of.
+    """
+
+    def __init__(self, identity: str, learn: Callable[[ReplicaSet], None]) -> None:
+        self.identity = identity
+        self._learn = learn
+        self.slots: dict[int, Slot] = {}
+        self._highest_epochs: dict[int, int] = {}
+        self.operations = 0
+
+    def adopt(self, replica_set: ReplicaSet) -> None:
+        """Start a founded epoch, which has no state to carry over."""
+        if not replica_set.founded or self.identity not in replica_set.members:
+            return
+        if replica_set.epoch > self._highest_epochs.get(replica_set.slot, 0):
+            self._start(Slot(replica_set, forgotten=replica_set.floor))
+
+    def _start(self, slot: Slot) -> None:
+        self.slots[slot.replica_set.slot] = slot
+        # An epoch once held may not be started again, even after its slot was dropped here:
+        # this replica would come back without its votes.
+        self._highest_epochs[slot.replica_set.slot] = slot.replica_set.epoch
+
+    def _find(self, slot_number: int, epoch: int) -> Slot | StaleEpoch:
+        slot = self.slots.get(slot_number)
+        if slot is None:
+            return StaleEpoch(None)
+        if slot.sealed_by is not None:
+            return StaleEpoch(slot.sealed_by)
+        if slot.replica_set.epoch != epoch:
+            return StaleEpoch(slot.replica_set)
+        return slot
+
+    def _register(self, slot: Slot, key: str, dated: int) -> Register | None:
+        """The register, made if need be; None when its id may have been forgotten."""
+        register = slot.registers.get(key)
+        if register is not None:
+            return register
+        if dated != UNDATED and dated <= slot.forgotten:
+            return None
+        register = Register(dated)
+        slot.registers[key] = register
+        return register
+
+    async def on_prepare(self, _peer: str, message: AnyMessage) -> AnyMessage:
+        """Answer phase one."""
+        assert isinstance(message, Prepare)
+        self.operations += 1
+        slot = self._find(message.slot, message.epoch)
+        if isinstance(slot, StaleEpoch):
+            return slot
+        register = self._register(slot, message.key, message.dated)
+        if register is None:
+            return Expired()
+        if message.ballot <= register.promised:
+            return Rejected(register.promised)
+        register.promised = message.ballot
+        return Promise(register.accepted, register.value)
+
+    async def on_accept(self, _peer: str, message: AnyMessage) -> AnyMessage:
+        """Answer phase two, or the fast round."""
+        assert isinstance(message, Accept)
+        self.operations += 1
+        slot = self._find(message.slot, message.epoch)
+        if isinstance(slot, StaleEpoch):
+            return slot
+        register = self._register(slot, message.key, message.dated)
+        if register is None:
+            return Expired()
+        if message.ballot == FAST_BALLOT:
+            return self._accept_fast(register, message)
+        if message.ballot < register.promised:
+            return Rejected(register.promised)
+        register.promised = message.ballot
+        register.accepted = message.ballot
+        register.value = message.value
+        return Accepted()
+
+    @staticmethod
+    def _accept_fast(register: Register, message: Accept) -> AnyMessage:
+        # Only an untouched register takes a value in the fast round. It promises round 1 to the
+        # owner at once, so that the owner's next write needs no phase one.
+        untouched = register.accepted is None and register.promised == FAST_BALLOT
+        if not untouched:
+            return Rejected(register.promised)
+        register.accepted = FAST_BALLOT
+        register.value = message.value
+        register.promised = Ballot(1, message.owner)
+        return Accepted()
+
+    async def on_read(self, _peer: str, message: AnyMessage) -> AnyMessage:
+        """Answer a read that promises nothing."""
+        assert isinstance(message, ReadRecord)
+        self.operations += 1
+        slot = self._find(message.slot, message.epoch)
+        if isinstance(slot, StaleEpoch):
+            return slot
+        register = slot.registers.get(message.key)
+        if register is None:
+            return Promise(None, None)
+        return Promise(register.accepted, register.value)
+
+    async def on_seal(self, _peer: str, message: AnyMessage) -> AnyMessage:
+        """End the epoch on this replica and hand over its registers."""
+        assert isinstance(message, Seal)
+        slot = self.slots.get(message.slot)
+        if slot is None:
+            return StaleEpoch(None)
+        if slot.replica_set == message.next_set:
+            # Installed here already. What this replica accepted since may be passed on: it is as
+            # if the new member had received the same Accept.
+            return self._state(slot)
+        if slot.replica_set.epoch != message.epoch:
+            return StaleEpoch(slot.replica_set)
+        slot.sealed_by = message.next_set
+        self._learn(message.next_set)
+        return self._state(slot)
+
+    @staticmethod
+    def _state(slot: Slot) -> SlotState:
+        records = [
+            StoredRecord(key, register.dated, register.accepted, register.value)
+            for key, register in slot.registers.items()
+            if register.accepted is not None and register.value is not None
+        ]
+        return SlotState(records, slot.forgotten)
+
+    async def on_install(self, _peer: str, message: AnyMessage) -> AnyMessage:
+        """Start an epoch with the state that a majority of the old one held."""
+        assert isinstance(message, Install)
+        target = message.replica_set
+        if self.identity not in target.members:
+            return StaleEpoch(None)
+        if self._highest_epochs.get(target.slot, 0) >= target.epoch:
+            return Done() if target.slot in self.slots else StaleEpoch(None)
+        forgotten = max(message.state.forgotten, target.floor)
+        slot = Slot(target, forgotten=forgotten)
+        for record in message.state.records:
+            # A promise no lower than what was accepted keeps ballots of the old epoch out.
+            slot.registers[record.key] = Register(
+                record.dated, record.accepted, record.accepted, record.value
+            )
+        self._start(slot)
+        self._learn(target)
+        log.info("replica installed", extra={"slot": target.slot, "epoch": target.epoch})
+        return Done()
+
+    def sealed(self) -> list[tuple[ReplicaSet, ReplicaSet]]:
+        """Old and agreed set of each slot that was sealed here and not installed again."""
+        return [
+            (slot.replica_set, slot.sealed_by)
+            for slot in self.slots.values()
+            if slot.sealed_by is not None
+        ]
+
+    def drop(self, slot_number: int) -> None:
+        """Drop a sealed slot whose new set is installed elsewhere."""
+        slot = self.slots.get(slot_number)
+        if slot is not None and slot.sealed_by is not None:
+            del self.slots[slot_number]
+
+    def forget_before(self, date: int) -> int:
+        """Drop records dated before `date` (milliseconds); return how many."""
+        dropped = 0
+        for slot in self.slots.values():
+            old = [k for k, r in slot.registers.items() if r.dated != UNDATED and r.dated < date]
+            for key in old:
+                slot.forgotten = max(slot.forgotten, slot.registers.pop(key).dated)
+            dropped += len(old)
+        return dropped
+
+    def record_count(self) -> int:
+        """Registers held, over all slots."""
+        return sum(len(slot.registers) for slot in self.slots.values())
--- /dev/null
+++ b/src/crankseam/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The filter chain that every app request passes."""
--- /dev/null
+++ b/src/crankseam/requests/claim.py
@@ -0,0 +1,279 @@
+"""At most once: claims a request that may not be repeated before it is forwarded.
+
+`not_run` is a committed state. Whoever tells a caller `not_run` has first made a majority of the
+record's replicas agree that this attempt never ran and never will.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import logging
+from dataclasses import dataclass
+
+import msgspec
+
+from crankseam.cluster.agent import ClusterAgent
+from crankseam.constants import (
+    MAX_STORED_ANSWER_BYTES,
+    OUTCOME_NOT_RUN,
+    OUTCOME_RUN,
+    OUTCOME_UNKNOWN,
+)
+from crankseam.errors import (
+    BadRequest,
+    IdentifierExpired,
+    OutcomeUnknown,
+    Problem,
+    RecordError,
+    RecordExpired,
+    StillRunning,
+    Unavailable,
+)
+from crankseam.records.proposer import OwnedBallot, RecordKey
+from crankseam.requests.context import Answer, Next, RequestContext
+from crankseam.requests.request_record import (
+    RequestRecord,
+    RequestState,
+    claim_over,
+    decode_record,
+    encode_record,
+    refuse_over,
+)
+
+log = logging.getLogger(__name__)
+
+REPLAYED_HEADER = "Crankseam-Replayed"
+RETRY_SECONDS = 1.0
+SETTLE_SECONDS = 3.0
+"""How long a node tries to commit how a request ended, after which it is left as claimed."""
+SETTLE_PAUSE = 0.1
+
+
+@dataclass
+class HeldClaim:
+    """A claim of this node, and the ballot for the next write if the fast round gave one."""
+
+    where: RecordKey
+    record: RequestRecord
+    owned: OwnedBallot | None
+
+
+class RequestClaims:
+    """Reads and writes request records for this node."""
+
+    def __init__(self, agent: ClusterAgent) -> None:
+        self._agent = agent
+
+    def _locate(self, context: RequestContext) -> RecordKey:
+        key = f"request/{context.service_name}/{context.idempotency_key}"
+        return self._agent.locate(key, context.key_date)
+
+    @staticmethod
+    def digest(context: RequestContext) -> str:
+        head = f"{context.http.method} {context.path}\n".encode()
+        return hashlib.sha256(head + context.body).hexdigest()[:32]
+
+    def _new_record(self, context: RequestContext, state: RequestState) -> RequestRecord:
+        return RequestRecord(
+            state=state,
+            attempt=context.request_id,
+            claimant=f"{self._agent.identity}#{context.claim_token}",
+            body_digest=self.digest(context),
+        )
+
+    async def claim(self, context: RequestContext) -> HeldClaim | RequestRecord:
+        """Claim the request; a RequestRecord is what stood in the way.
+
+        Raises:
+            RecordError: it is not known whether the claim holds; nothing may be forwarded.
+        """
+        where = self._locate(context)
+        record = self._new_record(context, RequestState.CLAIMED)
+        encoded = encode_record(record)
+        owned = await self._agent.proposer.create(where, encoded)
+        if owned is not None:
+            return HeldClaim(where, record, owned)
+        value = await self._agent.proposer.change(
+            where, lambda standing: claim_over(standing, record)
+        )
+        assert value is not None
+        agreed = decode_record(value)
+        is_own = agreed.claimant == record.claimant and agreed.attempt == record.attempt
+        if agreed.state == RequestState.CLAIMED and is_own:
+            return HeldClaim(where, agreed, None)
+        return agreed
+
+    async def settle(self, claim: HeldClaim, final: RequestRecord) -> bool:
+        """Commit how a claimed request ended; False if no majority could be reached in time."""
+        encoded = encode_record(final)
+        try:
+            async with asyncio.timeout(SETTLE_SECONDS):
+                if claim.owned is not None:
+                    if await self._agent.proposer.overwrite(claim.where, claim.owned, encoded):
+                        return True
+                return await self._settle_slowly(claim, encoded)
+        except TimeoutError:
+            return False
+
+    async def _settle_slowly(self, claim: HeldClaim, encoded: bytes) -> bool:
+        while True:
+            try:
+                value = await self._agent.proposer.change(
+                    claim.where, lambda standing: _end_own_claim(standing, claim.record, encoded)
+                )
+                return value == encoded
+            except RecordExpired:
+                return False
+            except RecordError:
+                await asyncio.sleep(SETTLE_PAUSE)
+
+    async def refuse(self, context: RequestContext) -> RequestRecord:
+        """Commit `not_run` for this attempt; returns what is agreed, which may be another state.
+
+        Raises:
+            RecordError: nothing is known to be agreed; the caller must be told `unknown`.
+        """
+        where = self._locate(context)
+        refusal = self._new_record(context, RequestState.NOT_RUN)
+        refusal.refused_attempts = [context.request_id]
+        encoded = encode_record(refusal)
+        if await self._agent.proposer.create(where, encoded) is not None:
+            return refusal
+        value = await self._agent.proposer.change(
+            where, lambda standing: refuse_over(standing, refusal)
+        )
+        assert value is not None
+        return decode_record(value)
+
+
+def _end_own_claim(standing: bytes | None, claim: RequestRecord, encoded: bytes) -> bytes | None:
+    if standing is None or standing == encoded:
+        return encoded
+    record = decode_record(standing)
+    is_own = record.claimant == claim.claimant and record.attempt == claim.attempt
+    return encoded if is_own and record.state == RequestState.CLAIMED else None
+
+
+def problem_for(record: RequestRecord, context: RequestContext) -> Problem | None:
+    """What to tell a caller whose request is in this state; None if its answer can be replayed."""
+    if record.state == RequestState.CLAIMED:
+        detail = "an earlier attempt was claimed and has not ended"
+        return StillRunning(detail, OUTCOME_UNKNOWN, RETRY_SECONDS)
+    if record.state == RequestState.UNKNOWN:
+        return OutcomeUnknown("it was forwarded and its answer was lost", OUTCOME_UNKNOWN)
+    if record.state == RequestState.NOT_RUN:
+        detail = "this attempt was not run; try again with a new Request-Id"
+        return Unavailable(detail, OUTCOME_NOT_RUN, RETRY_SECONDS)
+    if record.body is None:
+        return OutcomeUnknown("it ran; its answer was too large to keep", OUTCOME_RUN)
+    return None
+
+
+class ClaimFilter:
+    """Claims before, and commits the end after, the filters that forward the request."""
+
+    def __init__(self, claims: RequestClaims) -> None:
+        self._claims = claims
+
+    async def __call__(self, context: RequestContext, following: Next) -> Answer:
+        """Forward under a claim, or answer from the record that stands."""
+        if not context.must_not_repeat:
+            return await following(context)
+        try:
+            claim = await self._claims.claim(context)
+        except RecordExpired:
+            raise IdentifierExpired("the key is older than what is remembered")
+        except RecordError as error:
+            # The claim may hold although this node does not know it. It will not forward, and
+            # tries to have that agreed, so that the caller can be told.
+            raise Unavailable(str(error), OUTCOME_NOT_RUN, RETRY_SECONDS)
+        if isinstance(claim, RequestRecord):
+            return self._answer_from(claim, context)
+        return await self._forward(claim, context, following)
+
+    def _answer_from(self, record: RequestRecord, context: RequestContext) -> Answer:
+        if record.body_digest != self._claims.digest(context):
+            detail = "the key was used for another request"
+            raise BadRequest(detail, OUTCOME_UNKNOWN)
+        problem = problem_for(record, context)
+        if problem is not None:
+            raise problem
+        headers = {**record.headers, REPLAYED_HEADER: "true"}
+        return Answer(record.status, headers, record.body)
+
+    async def _forward(self, claim: HeldClaim, context: RequestContext, following: Next) -> Answer:
+        try:
+            answer = await following(context)
+        except Problem as problem:
+            await self._settle_problem(claim, context, problem)
+            raise
+        except asyncio.CancelledError:
+            # The caller hung up. What was forwarded may have run; its record must not say less.
+            if context.dispatched:
+                await asyncio.shield(self._settle_unknown(claim))
+            raise
+        await self._settle_answer(claim, context, answer)
+        return answer
+
+    async def _settle_problem(
+        self, claim: HeldClaim, context: RequestContext, problem: Problem
+    ) -> None:
+        if context.dispatched:
+            problem.outcome = OUTCOME_UNKNOWN
+            await self._settle_unknown(claim)
+            return
+        # Not forwarded: left to the refusal filter, which commits `not_run` over this own claim.
+
+    async def _settle_unknown(self, claim: HeldClaim) -> None:
+        final = msgspec.structs.replace(claim.record, state=RequestState.UNKNOWN)
+        if not await self._claims.settle(claim, final):
+            log.info("request left as claimed", extra={"key": claim.where.key})
+
+    async def _settle_answer(
+        self, claim: HeldClaim, context: RequestContext, answer: Answer
+    ) -> None:
+        body = answer.body
+        if body is not None and len(body) > MAX_STORED_ANSWER_BYTES:
+            body = None
+        final = msgspec.structs.replace(
+            claim.record,
+            state=RequestState.ANSWERED,
+            status=answer.status,
+            headers=answer.headers,
+            body=body,
+            decision_id=context.decision.decision_id if context.decision else "",
+        )
+        # The caller gets its answer either way; a retry finds `claimed` if this fails.
+        if not await self._claims.settle(claim, final):
+            log.info("answer not recorded", extra={"key": claim.where.key})
+
+
+class RefusalFilter:
+    """Turns every `not_run` into a committed state before the caller hears of it."""
+
+    def __init__(self, claims: RequestClaims) -> None:
+        self._claims = claims
+
+    async def __call__(self, context: RequestContext, following: Next) -> Answer:
+        """Pass answers through; check each problem's outcome."""
+        try:
+            return await following(context)
+        except Problem as problem:
+            await self._check_outcome(context, problem)
+            raise
+
+    async def _check_outcome(self, context: RequestContext, problem: Problem) -> None:
+        if context.dispatched and problem.outcome == OUTCOME_NOT_RUN:
+            problem.outcome = OUTCOME_UNKNOWN
+        is_safe = context.service is not None and not context.must_not_repeat
+        if problem.outcome != OUTCOME_NOT_RUN or is_safe or context.idempotency_key is None:
+            return
+        try:
+            agreed = await self._claims.refuse(context)
+        except RecordError:
+            problem.outcome = OUTCOME_UNKNOWN
+            return
+        refused = agreed.state == RequestState.NOT_RUN
+        if not refused or context.request_id not in agreed.refused_attempts:
+            problem.outcome = OUTCOME_UNKNOWN
--- /dev/null
+++ b/src/crankseam/requests/forward.py
@@ -0,0 +1,205 @@
+"""Last step of the chain: choose a back end, send the request there, return its whole answer."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+
+import aiohttp
+from aiohttp import web
+
+from crankseam.backoff import RetryBudget
+from crankseam.config.kinds import BackEnd
+from crankseam.constants import (
+    DEADLINE_HEADER,
+    DECISION_HEADER,
+    IDEMPOTENCY_HEADER,
+    OUTCOME_NOT_RUN,
+    OUTCOME_UNKNOWN,
+    REQUEST_ID_HEADER,
+)
+from crankseam.decisions import Decision, DecisionLog
+from crankseam.errors import DeadlineExceeded, OutcomeUnknown, Unavailable
+from crankseam.requests.context import Answer, RequestContext
+from crankseam.routing import Choice, Router
+
+log = logging.getLogger(__name__)
+
+HOP_HEADERS = frozenset(
+    {
+        "connection",
+        "content-length",
+        "host",
+        "keep-alive",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-encoding",
+        "date",
+        "server",
+    }
+)
+CHUNK_BYTES = 64 * 1024
+MIN_REMAINING_SECONDS = 0.005
+"""A request with less time than this left is not forwarded any more."""
+RETRY_NO_BACK_END_SECONDS = 1.0
+RETRY_RATIO = 0.1
+RETRY_RESERVE = 20.0
+
+
+class _NotSent(Exception):
+    """The back end refused the connection: not one byte of the request was sent."""
+
+
+class Forwarder:
+    """Sends requests to back ends.
+
+    A back end that refuses the connection has provably not run the request, so another one may
+    be tried, within the retry budget. After the first byte was sent nothing is tried again,
+    unless the request may be repeated.
+    """
+
+    def __init__(
+        self, session: aiohttp.ClientSession, router: Router, decisions: DecisionLog
+    ) -> None:
+        self._session = session
+        self._router = router
+        self._decisions = decisions
+        self._budget = RetryBudget(RETRY_RATIO, RETRY_RESERVE)
+
+    async def __call__(self, context: RequestContext) -> Answer:
+        """Forward; raises Problem when there is no answer to give."""
+        self._budget.count_attempt()
+        tried: set[str] = set()
+        while True:
+            choice = self._choose(context, frozenset(tried))
+            if choice.back_end is None:
+                detail = "no back end can take the request"
+                raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_NO_BACK_END_SECONDS)
+            try:
+                return await self._attempt(context, choice.back_end)
+            except _NotSent:
+                tried.add(choice.back_end.name)
+            except OutcomeUnknown:
+                if context.must_not_repeat or context.answer_started:
+                    raise
+                tried.add(choice.back_end.name)
+            if not self._budget.try_spend():
+                outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+                raise Unavailable("retry budget spent", outcome, RETRY_NO_BACK_END_SECONDS)
+
+    def _choose(self, context: RequestContext, tried: frozenset[str]) -> Choice:
+        service = context.require_service()
+        choice = self._router.choose(service.name, service.back_ends, excluded=tried)
+        context.decision = self._decide(context, choice)
+        return choice
+
+    def _decide(self, context: RequestContext, choice: Choice) -> Decision:
+        assert context.snapshot is not None
+        chosen = choice.back_end.name if choice.back_end else None
+        decision = Decision(
+            decision_id=self._decisions.new_id(),
+            kind="route" if chosen else "refuse",
+            subject=context.request_id,
+            node=self._decisions.node,
+            revision=context.snapshot.revision,
+            at="",
+            reason="least load" if chosen else "no candidate is eligible",
+            choice=chosen,
+            candidates=choice.candidates,
+            aliases=[context.idempotency_key] if context.idempotency_key else [],
+        )
+        self._decisions.record(decision)
+        return decision
+
+    async def _attempt(self, context: RequestContext, back_end: BackEnd) -> Answer:
+        target = f"{context.service_name}/{back_end.name}"
+        # Directly before the first byte: this process may have been stopped since the claim.
+        remaining = context.remaining()
+        if remaining < MIN_REMAINING_SECONDS:
+            outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+            raise DeadlineExceeded("the deadline passed before it was forwarded", outcome, 1.0)
+        self._router.start(target)
+        try:
+            async with asyncio.timeout(remaining):
+                return await self._send(context, back_end, remaining)
+        except aiohttp.ClientConnectorError as error:
+            self._router.fail_connection(target)
+            raise _NotSent from error
+        except TimeoutError:
+            raise OutcomeUnknown("no answer before the deadline", OUTCOME_UNKNOWN)
+        except (aiohttp.ClientError, ConnectionError) as error:
+            self._router.fail_connection(target)
+            raise OutcomeUnknown(f"connection broke: {type(error).__name__}", OUTCOME_UNKNOWN)
+        finally:
+            self._router.finish(target)
+
+    async def _send(self, context: RequestContext, back_end: BackEnd, remaining: float) -> Answer:
+        url = f"http://{back_end.address}/{context.path}"
+        request = self._session.request(
+            context.http.method,
+            url,
+            params=context.http.query,
+            data=context.body,
+            headers=self._headers(context, remaining),
+            allow_redirects=False,
+            trace_request_ctx=context,
+        )
+        async with request as upstream:
+            headers = {k: v for k, v in upstream.headers.items() if k.lower() not in HOP_HEADERS}
+            if context.must_not_repeat:
+                return Answer(upstream.status, headers, await upstream.read())
+            return await self._stream(context, upstream, headers)
+
+    @staticmethod
+    def _headers(context: RequestContext, remaining: float) -> dict[str, str]:
+        headers = {k: v for k, v in context.http.headers.items() if k.lower() not in HOP_HEADERS}
+        headers[REQUEST_ID_HEADER] = context.request_id
+        headers[DEADLINE_HEADER] = str(int(remaining * 1000))
+        if context.idempotency_key:
+            headers[IDEMPOTENCY_HEADER] = context.idempotency_key
+        return headers
+
+    async def _stream(
+        self,
+        context: RequestContext,
+        upstream: aiohttp.ClientResponse,
+        headers: dict[str, str],
+    ) -> Answer:
+        """Pass an answer through as it comes. If it breaks off, so does the caller's: an answer
+        cut short never looks like a whole one."""
+        first = await upstream.content.read(CHUNK_BYTES)
+        if upstream.content.at_eof():
+            return Answer(upstream.status, headers, first)
+        response = web.StreamResponse(status=upstream.status, headers=headers)
+        if context.decision is not None:
+            response.headers[DECISION_HEADER] = context.decision.decision_id
+        context.answer_started = True
+        await response.prepare(context.http)
+        try:
+            await response.write(first)
+            async for chunk in upstream.content.iter_chunked(CHUNK_BYTES):
+                await response.write(chunk)
+            await response.write_eof()
+        except BaseException:
+            if context.http.transport is not None:
+                context.http.transport.abort()
+            raise
+        return Answer(upstream.status, headers, None, response)
+
+
+def trace_first_byte() -> aiohttp.TraceConfig:
+    """Marks a request as dispatched from the moment its first byte may leave this process."""
+    trace = aiohttp.TraceConfig()
+
+    async def on_connection_ready(
+        _session: aiohttp.ClientSession, trace_context: object, _params: object
+    ) -> None:
+        context = getattr(trace_context, "trace_request_ctx", None)
+        if isinstance(context, RequestContext):
+            context.dispatched = True
+
+    trace.on_connection_create_end.append(on_connection_ready)
+    trace.on_connection_reuseconn.append(on_connection_ready)
+    return trace
--- /dev/null
+++ b/src/crankseam/requests/identify.py
@@ -0,0 +1,105 @@
+"""First filters: who and what the request is, how long it may take, under which configuration."""
+
+from __future__ import annotations
+
+import time
+import uuid
+
+from crankseam.cluster.agent import wall_milliseconds
+from crankseam.cluster.configuration_lease import ConfigurationLease
+from crankseam.constants import (
+    DEADLINE_HEADER,
+    IDEMPOTENCY_HEADER,
+    MAX_REQUEST_BODY_BYTES,
+    OUTCOME_NOT_RUN,
+    REQUEST_ID_HEADER,
+)
+from crankseam.errors import BadRequest, IdentifierExpired, NotFound, Unavailable
+from crankseam.identifiers import date_of
+from crankseam.requests.context import Answer, Next, RequestContext
+
+MAX_ID_LENGTH = 200
+FUTURE_MARGIN_MILLISECONDS = 60_000
+"""Callers' clocks may run ahead by this much."""
+
+DEFAULT_DEADLINE_SECONDS = 10.0
+RETRY_UNREADY_SECONDS = 1.0
+
+
+class IdentifyFilter:
+    """Reads the ids and the body. Nothing is looked up yet."""
+
+    def __init__(self, retention_seconds: float) -> None:
+        self._retention_milliseconds = retention_seconds * 1000
+
+    async def __call__(self, context: RequestContext, following: Next) -> Answer:
+        """Fill in the ids; refuse malformed ones."""
+        headers = context.http.headers
+        context.request_id = headers.get(REQUEST_ID_HEADER) or str(uuid.uuid4())
+        if len(context.request_id) > MAX_ID_LENGTH:
+            raise BadRequest(f"{REQUEST_ID_HEADER} is too long", OUTCOME_NOT_RUN)
+        key = headers.get(IDEMPOTENCY_HEADER)
+        if key is not None:
+            context.key_date = self._check_key(key)
+            context.idempotency_key = key
+        context.body = await context.http.read()
+        if len(context.body) > MAX_REQUEST_BODY_BYTES:
+            raise BadRequest("the body is too large", OUTCOME_NOT_RUN)
+        return await following(context)
+
+    def _check_key(self, key: str) -> int:
+        try:
+            dated = date_of(key)
+        except ValueError:
+            detail = f"{IDEMPOTENCY_HEADER} must be a UUID of version 7 (RFC 9562)"
+            raise BadRequest(detail, OUTCOME_NOT_RUN)
+        age = wall_milliseconds() - dated
+        if age > self._retention_milliseconds:
+            raise IdentifierExpired("the key is older than what is remembered")
+        if age < -FUTURE_MARGIN_MILLISECONDS:
+            raise BadRequest(f"{IDEMPOTENCY_HEADER} is dated in the future", OUTCOME_NOT_RUN)
+        return dated
+
+
+class DeadlineFilter:
+    """Takes the caller's deadline; the service's own may shorten it later."""
+
+    async def __call__(self, context: RequestContext, following: Next) -> Answer:
+        """Set the deadline, counted from the request's arrival."""
+        raw = context.http.headers.get(DEADLINE_HEADER)
+        allowed = DEFAULT_DEADLINE_SECONDS
+        if raw is not None:
+            if not raw.isdecimal() or len(raw) > 9:
+                raise BadRequest(f"{DEADLINE_HEADER}: whole milliseconds", OUTCOME_NOT_RUN)
+            allowed = int(raw) / 1000
+        context.deadline = context.arrived + allowed
+        return await following(context)
+
+
+class ConfigurationFilter:
+    """Takes one snapshot for the whole request, and only under a held lease."""
+
+    def __init__(self, lease: ConfigurationLease) -> None:
+        self._lease = lease
+
+    async def __call__(self, context: RequestContext, following: Next) -> Answer:
+        """Look up the service; refuse new work when the lease has run out."""
+        context.snapshot = self._lease.snapshot
+        service = context.snapshot.services.get(context.service_name)
+        context.service = service
+        if service is not None:
+            repeatable = context.http.method in service.repeatable_methods
+            context.must_not_repeat = not repeatable
+            context.deadline = min(context.deadline, context.arrived + service.deadline)
+        if not self._lease.is_held():
+            detail = "this node cannot confirm its configuration"
+            raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_UNREADY_SECONDS)
+        if service is None:
+            raise NotFound(f"no service {context.service_name}", OUTCOME_NOT_RUN)
+        if context.must_not_repeat and context.idempotency_key is None:
+            detail = f"{context.http.method} needs an {IDEMPOTENCY_HEADER}"
+            raise BadRequest(detail, OUTCOME_NOT_RUN)
+        if time.monotonic() >= context.deadline:
+            detail = "the deadline has passed"
+            raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_UNREADY_SECONDS)
+        return await following(context)
--- /dev/null
+++ b/src/crankseam/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Training steps: generating samples and delivering them exactly once."""
--- /dev/null
+++ b/src/crankseam/rollout/generation.py
@@ -0,0 +1,177 @@
+"""Generates one sample, going on elsewhere with the tokens it has when a sampler breaks off."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+from contextlib import aclosing
+from dataclasses import dataclass, field
+
+from crankseam.backoff import Backoff
+from crankseam.clients.sampler import (
+    CompletionRequest,
+    SamplerClient,
+    SamplerRefused,
+    SamplerStreamBroke,
+)
+from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
+from crankseam.decisions import Candidate, Decision, DecisionLog
+from crankseam.rollout.messages import (
+    SampleRequest,
+    SampleResult,
+    Segment,
+    append_tokens,
+    oldest_version,
+)
+from crankseam.routing import Router
+
+log = logging.getLogger(__name__)
+
+WAIT_FOR_SAMPLER_BASE = 0.02
+WAIT_FOR_SAMPLER_CAP = 0.5
+
+
+@dataclass
+class PartialSample:
+    """Tokens generated so far, with the versions that made them."""
+
+    tokens: list[int] = field(default_factory=list)
+    segments: list[Segment] = field(default_factory=list)
+    samplers: list[str] = field(default_factory=list)
+
+    def clear(self) -> None:
+        """Start from the prompt again."""
+        self.tokens.clear()
+        self.segments.clear()
+        self.samplers.clear()
+
+
+@dataclass(frozen=True)
+class GenerationTarget:
+    """What a sample is generated for, as the configuration and the trainer say now."""
+
+    trainer: Trainer
+    pool: SamplerPool
+    trainer_version: int
+    revision: int
+
+    @property
+    def oldest_allowed(self) -> int:
+        """The oldest weight version that may make a token."""
+        return self.trainer_version - self.trainer.staleness_bound
+
+
+class SampleGenerator:
+    """Generates samples on the samplers of a pool."""
+
+    def __init__(self, sampler: SamplerClient, router: Router, decisions: DecisionLog) -> None:
+        self._sampler = sampler
+        self._router = router
+        self._decisions = decisions
+
+    async def generate(
+        self,
+        step: int,
+        request: SampleRequest,
+        generation: int,
+        target: Callable[[], GenerationTarget],
+        priority: Callable[[], int],
+    ) -> SampleResult:
+        """Generate until whole.
+
+        Args:
+            target: asked anew for each attempt, since versions and configuration move on.
+            priority: asked anew for each attempt; lower runs first.
+        """
+        partial = PartialSample()
+        backoff = Backoff(WAIT_FOR_SAMPLER_BASE, WAIT_FOR_SAMPLER_CAP)
+        while True:
+            wanted = target()
+            decision = self._choose(step, request, wanted)
+            if decision.choice is None:
+                await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
+                continue
+            backoff.reset()
+            sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
+            if partial.segments and oldest_version(partial.segments) < wanted.oldest_allowed:
+                partial.clear()  # carried on, it could not be delivered
+            if await self._attempt(sampler, step, request, wanted, partial, priority()):
+                return SampleResult(
+                    trainer=wanted.trainer.name,
+                    step=step,
+                    index=request.index,
+                    generation=generation,
+                    tokens=partial.tokens,
+                    segments=partial.segments,
+                    samplers=partial.samplers,
+                    decision_id=decision.decision_id,
+                )
+
+    def _choose(self, step: int, request: SampleRequest, wanted: GenerationTarget) -> Decision:
+        pool = wanted.pool
+
+        def eligible(candidate: Candidate) -> str | None:
+            in_flight = self._router.view(f"{pool.name}/{candidate.name}").in_flight
+            if in_flight >= pool.max_running_per_sampler:
+                return f"full: {in_flight} running"
+            if 0 <= candidate.version < wanted.oldest_allowed:
+                return f"version {candidate.version} is older than {wanted.oldest_allowed}"
+            return None
+
+        choice = self._router.choose(pool.name, pool.samplers, eligible)
+        subject = f"{wanted.trainer.name}/{step}/{request.index}"
+        decision = Decision(
+            decision_id=self._decisions.new_id(),
+            kind="sample",
+            subject=subject,
+            node=self._decisions.node,
+            revision=wanted.revision,
+            at="",
+            reason="least load within the staleness bound",
+            choice=choice.back_end.name if choice.back_end else None,
+            candidates=choice.candidates,
+        )
+        if decision.choice is not None:
+            self._decisions.record(decision)
+        return decision
+
+    async def _attempt(
+        self,
+        sampler: BackEnd,
+        step: int,
+        request: SampleRequest,
+        wanted: GenerationTarget,
+        partial: PartialSample,
+        priority: int,
+    ) -> bool:
+        """Generate on one sampler; False if it broke off (what came is kept in `partial`)."""
+        target = f"{wanted.pool.name}/{sampler.name}"
+        completion = CompletionRequest(
+            request_id=f"{wanted.trainer.name}/{step}/{request.index}",
+            prompt=request.prompt,
+            max_tokens=request.max_tokens,
+            prior_tokens=list(partial.tokens),
+            priority=priority,
+        )
+        self._router.start(target)
+        partial.samplers.append(sampler.name)
+        try:
+            async with aclosing(self._sampler.complete(sampler.address, completion)) as chunks:  # type: ignore[type-var]
+                async for chunk in chunks:
+                    start = len(partial.tokens)
+                    append_tokens(partial.segments, chunk.version, start, len(chunk.tokens))
+                    partial.tokens.extend(chunk.tokens)
+                    if chunk.finished:
+                        if not partial.segments:
+                            partial.segments.append(Segment(chunk.version, 0, 0))
+                        return True
+        except SamplerRefused:
+            partial.samplers.pop()
+            self._router.fail_connection(target)
+        except SamplerStreamBroke as error:
+            log.info("sample broke off", extra={"sampler": sampler.name, "error": str(error)})
+            self._router.fail_connection(target)
+        finally:
+            self._router.finish(target)
+        return False
--- /dev/null
+++ b/src/crankseam/rollout/service.py
@@ -0,0 +1,171 @@
+"""The steps that this node drives, and the HTTP interface for trainers."""
+
+from __future__ import annotations
+
+import logging
+
+import msgspec
+from aiohttp import web
+
+from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
+from crankseam.config.kinds import Trainer
+from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from crankseam.errors import BadRequest, NotFound, RecordError, StillRunning, Unavailable
+from crankseam.rollout.cursor import parse_cursor
+from crankseam.rollout.generation import GenerationTarget, SampleGenerator
+from crankseam.rollout.lengths import LengthEstimator
+from crankseam.rollout.messages import Acknowledge, OpenStep
+from crankseam.rollout.sample_records import STEP_RETENTION_MILLISECONDS, SampleRecords
+from crankseam.rollout.step_run import StepRun
+
+log = logging.getLogger(__name__)
+
+MAX_SAMPLES_PER_STEP = 16_384
+STEP_AGE_MARGIN_MILLISECONDS = 60_000
+RETRY_SECONDS = 1.0
+JSON_LINES = "application/x-ndjson"
+
+
+class RolloutService:
+    """Opens steps, streams their samples and takes acknowledgements."""
+
+    def __init__(self, agent: ClusterAgent, generator: SampleGenerator) -> None:
+        self._agent = agent
+        self._generator = generator
+        self._lengths = LengthEstimator()
+        self._runs: dict[tuple[str, int], StepRun] = {}
+        self.streams = 0
+        self.draining = False
+
+    def add_routes(self, app: web.Application) -> None:
+        """Register the trainers' paths."""
+        app.router.add_post("/trainers/{trainer}/steps", self.handle_open)
+        app.router.add_get("/trainers/{trainer}/steps/{step}/samples", self.handle_stream)
+        app.router.add_post("/trainers/{trainer}/steps/{step}/ack", self.handle_acknowledge)
+
+    async def close(self) -> None:
+        """Stop all steps; another node takes them over when their trainers come back."""
+        for run in self._runs.values():
+            await run.stop()
+
+    # --- opening
+
+    async def handle_open(self, request: web.Request) -> web.Response:
+        """POST: open a step, or open it again on this node. The body is an `OpenStep`."""
+        trainer = self._require_trainer(request)
+        version = self._read_version(request)
+        received = self._read_cursor(request)
+        try:
+            opening = msgspec.json.decode(await request.read(), type=OpenStep)
+        except msgspec.DecodeError as error:
+            raise BadRequest(f"step: {error}", OUTCOME_NOT_RUN)
+        self._check_opening(opening)
+        run = self._runs.get((trainer.name, opening.step))
+        if run is None or run.superseded:
+            run = await self._start(trainer, opening, version, received)
+        body = {"step": opening.step, "samples": len(opening.samples), "missing": run.remaining()}
+        return web.json_response(body)
+
+    def _require_trainer(self, request: web.Request) -> Trainer:
+        if self.draining:
+            raise Unavailable("this node is stopping", OUTCOME_NOT_RUN, RETRY_SECONDS)
+        if not self._agent.lease.is_held():
+            detail = "this node cannot confirm its configuration"
+            raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_SECONDS)
+        name = request.match_info["trainer"]
+        trainer = self._agent.lease.snapshot.trainers.get(name)
+        if trainer is None:
+            raise NotFound(f"no trainer {name}", OUTCOME_NOT_RUN)
+        return trainer
+
+    @staticmethod
+    def _read_version(request: web.Request) -> int:
+        raw = request.query.get("version", "")
+        if not raw.isdecimal():
+            raise BadRequest("version: the trainer's own weight version", OUTCOME_NOT_RUN)
+        return int(raw)
+
+    @staticmethod
+    def _read_cursor(request: web.Request) -> set[int]:
+        try:
+            return parse_cursor(request.query.get("after", ""))
+        except ValueError as error:
+            raise BadRequest(f"after: {error}", OUTCOME_NOT_RUN)
+
+    @staticmethod
+    def _check_opening(opening: OpenStep) -> None:
+        if not 0 < len(opening.samples) <= MAX_SAMPLES_PER_STEP:
+            raise BadRequest(f"samples: 1 to {MAX_SAMPLES_PER_STEP}", OUTCOME_NOT_RUN)
+        if [sample.index for sample in opening.samples] != list(range(len(opening.samples))):
+            raise BadRequest("samples: indices from 0 without gaps", OUTCOME_NOT_RUN)
+        age = wall_milliseconds() - opening.opened_at_ms
+        if age > STEP_RETENTION_MILLISECONDS or age < -STEP_AGE_MARGIN_MILLISECONDS:
+            raise BadRequest("opened_at_ms: a time within the retention", OUTCOME_NOT_RUN)
+
+    async def _start(
+        self, trainer: Trainer, opening: OpenStep, version: int, received: set[int]
+    ) -> StepRun:
+        records = SampleRecords(self._agent, trainer.name, opening.step, opening.opened_at_ms)
+        run = StepRun(
+            opening,
+            records,
+            self._generator,
+            self._lengths,
+            lambda trainer_version: self._target(trainer.name, trainer_version),
+        )
+        self._runs[trainer.name, opening.step] = run
+        try:
+            await run.start(version, received)
+        except RecordError as error:
+            del self._runs[trainer.name, opening.step]
+            await run.stop()
+            raise Unavailable(f"step not recorded: {error}", OUTCOME_UNKNOWN, RETRY_SECONDS)
+        return run
+
+    def _target(self, trainer_name: str, trainer_version: int) -> GenerationTarget:
+        snapshot = self._agent.lease.snapshot
+        trainer = snapshot.trainers[trainer_name]
+        pool = snapshot.pools[trainer.pool]
+        return GenerationTarget(trainer, pool, trainer_version, snapshot.revision)
+
+    # --- streaming
+
+    def _require_run(self, request: web.Request) -> StepRun:
+        trainer = self._require_trainer(request)
+        step = request.match_info["step"]
+        run = self._runs.get((trainer.name, int(step))) if step.isdecimal() else None
+        if run is None or run.superseded:
+            raise StillRunning("the step is not open on this node: open it again", OUTCOME_UNKNOWN)
+        return run
+
+    async def handle_stream(self, request: web.Request) -> web.StreamResponse:
+        """GET `?after=CURSOR&version=N`: the samples after the cursor, one JSON line each."""
+        run = self._require_run(request)
+        version = self._read_version(request)
+        received = self._read_cursor(request)
+        response = web.StreamResponse(headers={"Content-Type": JSON_LINES})
+        await response.prepare(request)
+        self.streams += 1
+        try:
+            async for result in run.deliver(received, version):
+                await response.write(msgspec.json.encode(result) + b"\n")
+            await response.write_eof()
+        except ConnectionError:
+            log.info("trainer left its stream", extra={"step": run.opening.step})
+        finally:
+            self.streams -= 1
+        return response
+
+    async def handle_acknowledge(self, request: web.Request) -> web.Response:
+        """POST: the trainer has these samples for good. The body is an `Acknowledge`."""
+        run = self._require_run(request)
+        try:
+            body = msgspec.json.decode(await request.read(), type=Acknowledge)
+            received = parse_cursor(body.cursor)
+        except (msgspec.DecodeError, ValueError) as error:
+            raise BadRequest(f"acknowledgement: {error}", OUTCOME_NOT_RUN)
+        if run.acknowledge(received):
+            key = (request.match_info["trainer"], run.opening.step)
+            self._runs.pop(key, None)
+            await run.stop()
+        return web.json_response({"missing": run.remaining()})
--- /dev/null
+++ b/src/crankseam/rollout/step_run.py
@@ -0,0 +1,232 @@
+"""One step on the node that drives it: generates what is missing, commits, and delivers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import AsyncIterator, Callable
+
+import msgspec
+
+from crankseam.backoff import Backoff
+from crankseam.errors import RecordError, RecordExpired
+from crankseam.rollout.cursor import format_cursor
+from crankseam.rollout.generation import GenerationTarget, SampleGenerator
+from crankseam.rollout.lengths import LengthEstimator
+from crankseam.rollout.messages import (
+    OpenStep,
+    SampleRecord,
+    SampleRequest,
+    SampleResult,
+    oldest_version,
+)
+from crankseam.rollout.sample_records import SampleRecords
+from crankseam.tasks import TaskGroupOwner
+
+log = logging.getLogger(__name__)
+
+DRIVER_CHECK_SECONDS = 1.0
+READ_CONCURRENCY = 64
+COMMIT_BACKOFF_BASE = 0.05
+COMMIT_BACKOFF_CAP = 1.0
+
+
+class StepRun:
+    """Drives one step.
+
+    Args:
+        opening: what the trainer asked for.
+        target: trainer, pool and versions as they stand now; its trainer_version is filled in
+            from what the trainer last reported here.
+    """
+
+    def __init__(
+        self,
+        opening: OpenStep,
+        records: SampleRecords,
+        generator: SampleGenerator,
+        lengths: LengthEstimator,
+        target: Callable[[int], GenerationTarget],
+    ) -> None:
+        self.opening = opening
+        self.trainer_version = 0
+        self.superseded = False
+        self._records = records
+        self._generator = generator
+        self._lengths = lengths
+        self._target = target
+        self._requests = {sample.index: sample for sample in opening.samples}
+        self._generations: dict[int, int] = {}
+        self._committed: dict[int, SampleResult] = {}
+        self._acknowledged: set[int] = set()
+        self._generating: set[int] = set()
+        self._changed = asyncio.Condition()
+        self._slots: asyncio.Semaphore
+        self._tasks = TaskGroupOwner()
+        self.dropped_stale = 0
+
+    # --- life
+
+    async def start(self, trainer_version: int, received: set[int]) -> None:
+        """Become the step's driver and generate every sample that is neither received nor
+        committed. Raises RecordError."""
+        self.trainer_version = trainer_version
+        self._acknowledged |= received
+        step = await self._records.become_driver()
+        if step.term > 1:
+            await self._read_committed()
+        pool = self._target(trainer_version).pool
+        self._slots = asyncio.Semaphore(len(pool.samplers) * pool.max_running_per_sampler)
+        missing = [
+            self._requests[index]
+            for index in self._requests
+            if index not in self._acknowledged and index not in self._committed
+        ]
+        for request in self._lengths.longest_first(missing):
+            self._start_sample(request)
+        self._tasks.start(self._watch_driver(), "step driver")
+
+    async def stop(self) -> None:
+        """Stop generating; what is committed stays."""
+        await self._tasks.stop()
+
+    async def _read_committed(self) -> None:
+        gate = asyncio.Semaphore(READ_CONCURRENCY)
+
+        async def read(index: int) -> None:
+            async with gate:
+                record = await self._records.read(index)
+            if record is not None:
+                self._take(index, record)
+
+        await asyncio.gather(*(read(i) for i in self._requests if i not in self._acknowledged))
+
+    async def _watch_driver(self) -> None:
+        while True:
+            await asyncio.sleep(DRIVER_CHECK_SECONDS)
+            try:
+                is_driver = await self._records.is_driver()
+            except RecordError:
+                continue
+            if not is_driver:
+                log.info("step taken over by another node", extra={"step": self.opening.step})
+                self.superseded = True
+                async with self._changed:
+                    self._changed.notify_all()
+                for task in [t for t in asyncio.all_tasks() if t.get_name() == self._task_name()]:
+                    task.cancel()
+                return
+
+    def _task_name(self) -> str:
+        return f"sample of step {self.opening.step} {id(self)}"
+
+    # --- generating
+
+    def _start_sample(self, request: SampleRequest) -> None:
+        if request.index in self._generating:
+            return
+        self._generating.add(request.index)
+        self._tasks.start(self._make_sample(request), self._task_name())
+
+    async def _make_sample(self, request: SampleRequest) -> None:
+        try:
+            async with self._slots:
+                result = await self._generator.generate(
+                    self.opening.step,
+                    request,
+                    self._generations.get(request.index, 0),
+                    lambda: self._target(self.trainer_version),
+                    lambda: self._lengths.priority(request, self.remaining()),
+                )
+            self._lengths.learn(request.group, len(result.tokens))
+            await self._commit(result)
+        finally:
+            self._generating.discard(request.index)
+
+    async def _commit(self, result: SampleResult) -> None:
+        backoff = Backoff(COMMIT_BACKOFF_BASE, COMMIT_BACKOFF_CAP)
+        while True:
+            try:
+                record = await self._records.commit(result)
+                break
+            except RecordExpired:
+                log.warning("step is too old to record", extra={"step": self.opening.step})
+                return
+            except RecordError:
+                await asyncio.sleep(COMMIT_BACKOFF_BASE + backoff.next_delay())
+        self._take(result.index, record)
+        async with self._changed:
+            self._changed.notify_all()
+
+    def _take(self, index: int, record: SampleRecord) -> None:
+        self._generations[index] = record.generation
+        if record.result is not None:
+            self._committed[index] = msgspec.json.decode(record.result, type=SampleResult)
+
+    def remaining(self) -> int:
+        """Samples that are neither committed nor acknowledged."""
+        return len(self._requests) - len(self._committed.keys() | self._acknowledged)
+
+    # --- delivering
+
+    async def deliver(
+        self, received: set[int], trainer_version: int
+    ) -> AsyncIterator[SampleResult]:
+        """Yield each sample that the trainer lacks, once, until it has all.
+
+        The trainer keeps `trainer_version` for as long as it reads this stream, so that the bound
+        checked here is the bound that holds on receipt.
+        """
+        self.trainer_version = trainer_version
+        received = set(received)
+        self._acknowledged |= received
+        while len(received) < len(self._requests):
+            ready = [index for index in self._committed if index not in received]
+            for index in ready:
+                result = self._committed[index]
+                if self._is_stale(result, trainer_version):
+                    await self._make_again(result)
+                    continue
+                received.add(index)
+                result.cursor = format_cursor(received)
+                yield result
+            if not ready or all(index in received for index in ready):
+                await self._wait_for_news(received)
+            if self.superseded:
+                return
+
+    async def _wait_for_news(self, received: set[int]) -> None:
+        async with self._changed:
+            if len(received) < len(self._requests) and not self.superseded:
+                if not any(index not in received for index in self._committed):
+                    await self._changed.wait()
+
+    def _is_stale(self, result: SampleResult, trainer_version: int) -> bool:
+        bound = self._target(trainer_version).oldest_allowed
+        return oldest_version(result.segments) < bound
+
+    async def _make_again(self, result: SampleResult) -> None:
+        """Drop a result that is too old by now and generate it anew."""
+        self.dropped_stale += 1
+        log.info(
+            "sample dropped as too old",
+            extra={"step": result.step, "index": result.index, "generation": result.generation},
+        )
+        backoff = Backoff(COMMIT_BACKOFF_BASE, COMMIT_BACKOFF_CAP)
+        while True:
+            try:
+                record = await self._records.drop_stale(result.index, result.generation)
+                break
+            except RecordError:
+                await asyncio.sleep(COMMIT_BACKOFF_BASE + backoff.next_delay())
+        self._committed.pop(result.index, None)
+        self._take(result.index, record)
+        if result.index not in self._committed:
+            self._start_sample(self._requests[result.index])
+
+    def acknowledge(self, received: set[int]) -> bool:
+        """Forget samples that the trainer has for good; return whether it has all."""
+        self._acknowledged |= received
+        for index in received:
+            self._committed.pop(index, None)
+        return len(self._acknowledged) >= len(self._requests)
--- /dev/null
+++ b/src/crankseam_experiments/__init__.py
@@ -0,0 +1,1 @@
+"""Experiments: launcher, load, faults, auditor and reports."""
--- /dev/null
+++ b/src/crankseam_experiments/fault_injection.py
@@ -0,0 +1,302 @@
+"""Injects faults into a running fleet, chosen and timed by the seed."""
+
+from __future__ import annotations
+
+import asyncio
+import signal
+import sys
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable
+from typing import TYPE_CHECKING
+
+from crankseam.clients.key_value import KeyValueClient
+from crankseam.config.changes import apply_plan, make_plan
+from crankseam.config.kinds import Limit, SamplerPool, Service
+from crankseam.errors import ApplyConflict, KeyValueError
+from crankseam_experiments.auditor import Window
+
+if TYPE_CHECKING:
+    from crankseam_experiments.runner import ExperimentRun
+
+RECOVERY_TIMEOUT_SECONDS = 40.0
+LEAVE_SECONDS = 5.0
+
+
+class FaultInjector:
+    """Carries out the fault plan of one run."""
+
+    def __init__(self, run: ExperimentRun) -> None:
+        self._run = run
+        self._fleet = run.fleet
+        self._plan = run.spec.faults
+        self._random = run.random
+        self._restarted: set[str] = set()
+        self._busy: set[str] = set()
+        self._tasks: set[asyncio.Task[None]] = set()
+        self._undo: list[Callable[[], Awaitable[None]]] = []
+        self.injected: Counter[str] = Counter()
+        self.recovery_seconds: list[float] = []
+
+    def may_restart(self, client: str) -> bool:
+        """Whether this client ended because a fault killed it; it was started again then."""
+        if client in self._restarted:
+            self._restarted.discard(client)
+            return True
+        return False
+
+    async def run(self) -> None:
+        """Inject all faults of the plan."""
+        if self._plan is None or self._plan.count == 0:
+            return
+        await asyncio.sleep(self._plan.first_at)
+        # Every kind once before any comes twice; then by chance.
+        order = list(self._plan.kinds)
+        self._random.shuffle(order)
+        while len(order) < self._plan.count:
+            order.append(self._random.choice(self._plan.kinds))
+        for kind in order[: self._plan.count]:
+            print(f"fault: {kind}", file=sys.stderr)
+            self.injected[kind] += 1
+            task = asyncio.create_task(getattr(self, f"_{kind}")())
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            await asyncio.sleep(self._random.uniform(0.5, 1.5) * self._plan.spacing)
+        if self._tasks:
+            await asyncio.wait(self._tasks)
+
+    async def finish(self) -> None:
+        """Undo what is still in place, so that the fleet can stop."""
+        for task in list(self._tasks):
+            task.cancel()
+        if self._fleet.links is not None:
+            self._fleet.links.mend_all()
+        for node in self._fleet.nodes.values():
+            node.signal(signal.SIGCONT)
+
+    # --- choosing
+
+    def _duration(self) -> float:
+        assert self._plan is not None
+        return self._plan.duration * self._random.uniform(0.3, 1.5)
+
+    def _pick_node(self) -> str | None:
+        """A node that no other fault has in hand."""
+        free = [name for name in self._fleet.nodes if name not in self._busy]
+        return self._random.choice(free) if free else None
+
+    def _address(self, name: str) -> str:
+        for document in self._fleet.documents:
+            if isinstance(document, Service):
+                for back_end in document.back_ends:
+                    if back_end.name == name:
+                        return back_end.address
+            if isinstance(document, SamplerPool):
+                for sampler in document.samplers:
+                    if sampler.name == name:
+                        return sampler.address
+        raise KeyError(name)
+
+    def _samplers(self) -> list[str]:
+        pool = self._run.document(SamplerPool)
+        return [sampler.name for sampler in pool.samplers if sampler.name not in self._busy]
+
+    def _apps(self) -> list[str]:
+        service = self._run.document(Service)
+        return [item.name for item in service.back_ends if item.name not in self._busy]
+
+    async def _note_recovery(self, name: str) -> None:
+        """Measure how long a started node takes until it takes work."""
+        started = time.monotonic()
+        address = self._fleet.node_addresses[name]
+        while time.monotonic() - started < RECOVERY_TIMEOUT_SECONDS:
+            if await self._fleet.is_ready(address):
+                self.recovery_seconds.append(time.monotonic() - started)
+                return
+            await asyncio.sleep(0.1)
+        self.recovery_seconds.append(RECOVERY_TIMEOUT_SECONDS)
+
+    # --- nodes
+
+    async def _kill_node(self) -> None:
+        name = self._pick_node()
+        if name is None:
+            return
+        self._busy.add(name)
+        node = self._fleet.nodes[name]
+        await node.kill()
+        await asyncio.sleep(self._duration())
+        await node.start()
+        await self._note_recovery(name)
+        self._busy.discard(name)
+
+    async def _pause_node(self) -> None:
+        name = self._pick_node()
+        if name is None:
+            return
+        self._busy.add(name)
+        node = self._fleet.nodes[name]
+        node.signal(signal.SIGSTOP)
+        await asyncio.sleep(self._duration() * 2)
+        node.signal(signal.SIGCONT)
+        await self._note_recovery(name)
+        self._busy.discard(name)
+
+    async def _planned_stop(self) -> None:
+        name = self._pick_node()
+        if name is None:
+            return
+        self._busy.add(name)
+        node = self._fleet.nodes[name]
+        begin = time.time()
+        code = await node.stop()
+        window = Window(self._fleet.node_addresses[name], begin, time.time())
+        self._run.evidence.planned_stops.append(window)
+        if code != 0:
+            print(f"{name} stopped with {code}", file=sys.stderr)
+        await node.start()
+        await self._note_recovery(name)
+        self._busy.discard(name)
+
+    # --- links
+
+    async def _with_cut(self, pairs: list[tuple[str, str]]) -> None:
+        links = self._fleet.links
+        assert links is not None
+        for source, target in pairs:
+            links.set_cut(source, target, True)
+        await asyncio.sleep(self._duration())
+        for source, target in pairs:
+            links.set_cut(source, target, False)
+
+    def _pick_pair(self) -> tuple[str, str]:
+        first, second = self._random.sample(list(self._fleet.nodes), 2)
+        return first, second
+
+    async def _cut_link(self) -> None:
+        first, second = self._pick_pair()
+        await self._with_cut([(first, second), (second, first)])
+
+    async def _cut_one_way(self) -> None:
+        await self._with_cut([self._pick_pair()])
+
+    async def _cut_zone(self) -> None:
+        zone = self._random.choice(self._run.spec.zones)
+        inside = [n for n, z in self._fleet.node_zones.items() if z == zone]
+        outside = [n for n, z in self._fleet.node_zones.items() if z != zone]
+        pairs = [(a, b) for a in inside for b in outside]
+        await self._with_cut(pairs + [(b, a) for a, b in pairs])
+
+    async def _slow_link(self) -> None:
+        links = self._fleet.links
+        assert links is not None
+        first, second = self._pick_pair()
+        for source, target in ((first, second), (second, first)):
+            links.set_delay(source, target, 0.2)
+        await asyncio.sleep(self._duration())
+        for source, target in ((first, second), (second, first)):
+            links.set_delay(source, target, 0.0)
+
+    # --- platform
+
+    async def _key_value_down(self) -> None:
+        duration = self._duration() * 2
+        await self._fleet.order_fault(self._run.spec.platform.key_value, down_seconds=duration)
+        await asyncio.sleep(duration)
+
+    async def _key_value_slow(self) -> None:
+        address = self._run.spec.platform.key_value
+        await self._fleet.order_fault(address, delay=1.0)
+        await asyncio.sleep(self._duration())
+        await self._fleet.order_fault(address, delay=0.0)
+
+    async def _lose_answers(self) -> None:
+        await self._fleet.order_fault(self._run.spec.platform.key_value, lose_answers=2)
+        await self._race_operators()
+
+    async def _lapse_leases(self) -> None:
+        await self._fleet.order_fault(self._run.spec.platform.key_value, lapse_leases=True)
+
+    async def _race_operators(self) -> None:
+        """Two operators plan from the same revision and both apply."""
+        key_values = [KeyValueClient([self._run.spec.platform.key_value]) for _ in range(2)]
+        try:
+            await asyncio.gather(
+                *(self._change_limit(client, index) for index, client in enumerate(key_values))
+            )
+        finally:
+            for client in key_values:
+                await client.close()
+
+    async def _change_limit(self, client: KeyValueClient, index: int) -> None:
+        documents = list(self._fleet.documents)
+        position = next(i for i, d in enumerate(documents) if isinstance(d, Limit))
+        limit = documents[position]
+        assert isinstance(limit, Limit)
+        amount = 100 + self._random.randrange(1000)
+        documents[position] = limit.model_copy(update={"max_in_flight": amount})
+        try:
+            plan = await make_plan(client, documents)
+            pointer = await apply_plan(client, plan, f"operator-{index}")
+            self._run.evidence.accepted.append((time.time(), pointer.revision))
+        except (ApplyConflict, KeyValueError) as error:
+            print(f"operator {index}: {type(error).__name__}", file=sys.stderr)
+
+    # --- back ends
+
+    async def _restart_standin(self, name: str) -> None:
+        self._busy.add(name)
+        standin = self._fleet.standins[name]
+        await standin.kill()
+        await asyncio.sleep(self._duration())
+        await standin.start()
+        await standin.wait_until_up(self._fleet.session)
+        self._busy.discard(name)
+
+    async def _kill_sampler(self) -> None:
+        if len(names := self._samplers()) > 2:
+            await self._restart_standin(self._random.choice(names))
+
+    async def _kill_app(self) -> None:
+        if len(names := self._apps()) > 1:
+            await self._restart_standin(self._random.choice(names))
+
+    async def _leave(self, name: str) -> None:
+        self._busy.add(name)
+        address = self._address(name)
+        await self._fleet.order_fault(address, leaving=True)
+        begin = time.time()
+        await asyncio.sleep(LEAVE_SECONDS)
+        self._run.evidence.leaving.append(Window(name, begin, time.time()))
+        await self._fleet.order_fault(address, leaving=False)
+        self._busy.discard(name)
+
+    async def _leave_app(self) -> None:
+        if len(names := self._apps()) > 1:
+            await self._leave(self._random.choice(names))
+
+    async def _leave_sampler(self) -> None:
+        if len(names := self._samplers()) > 2:
+            await self._leave(self._random.choice(names))
+
+    async def _break_streams(self) -> None:
+        if names := self._samplers():
+            await self._fleet.order_fault(
+                self._address(self._random.choice(names)), break_streams=8
+            )
+
+    async def _fail_loads(self) -> None:
+        if names := self._samplers():
+            address = self._address(self._random.choice(names))
+            await self._fleet.order_fault(address, fail_loads=4)
+
+    async def _kill_trainer(self) -> None:
+        """Kill the trainer in mid-step; it starts again from its journal."""
+        trainer = self._run.clients.get("trainer")
+        if trainer is None or not trainer.is_running():
+            return
+        self._restarted.add("trainer")
+        trainer.signal(signal.SIGKILL)
+        while trainer.is_running():
+            await asyncio.sleep(0.05)
+        await trainer.start()
--- /dev/null
+++ b/src/crankseam_experiments/fleet.py
@@ -0,0 +1,195 @@
+"""A fleet of separate processes: stand-ins, nodes, and the links between nodes."""
+
+from __future__ import annotations
+
+import asyncio
+from pathlib import Path
+from typing import Any
+
+import aiohttp
+
+from crankseam.config.kinds import Document, SamplerPool, Service, WeightPolicy
+from crankseam.config.reader import read_configuration
+from crankseam_experiments.links import LinkProxy
+from crankseam_experiments.processes import (
+    ManagedProcess,
+    address_flags,
+    node_command,
+    standin_command,
+)
+from crankseam_experiments.spec import Experiment
+
+CALLER_PORT = 7080
+PEER_PORT = 7081
+PROXY_PORT = 7082
+READY_TIMEOUT_SECONDS = 40.0
+
+
+class Fleet:
+    """Everything that runs for one experiment."""
+
+    def __init__(self, spec: Experiment, folder: Path, out: Path, use_links: bool) -> None:
+        self.spec = spec
+        self.out = out
+        self._files = [folder / item for item in spec.configuration]
+        self.documents: list[Document] = read_configuration(self._files)
+        self.standins: dict[str, ManagedProcess] = {}
+        self.nodes: dict[str, ManagedProcess] = {}
+        self.node_addresses: dict[str, str] = {}
+        self.node_zones: dict[str, str] = {}
+        self.links = LinkProxy() if use_links else None
+        self.session: aiohttp.ClientSession
+
+    @property
+    def configuration_files(self) -> list[Path]:
+        """The experiment's declarative files."""
+        return self._files
+
+    def account(self, name: str) -> Path:
+        """Where a stand-in writes its account."""
+        return self.out / f"{name}.account.jsonl"
+
+    # --- building
+
+    def _add_standin(self, name: str, kind: str, address: str, *extra: str) -> None:
+        command = standin_command(
+            kind,
+            *address_flags(address),
+            "--name",
+            name,
+            "--account",
+            str(self.account(name)),
+            *extra,
+        )
+        url = f"http://{address}/_account" if kind == "key-value" else f"http://{address}/_up"
+        if kind in ("sampler", "app"):
+            url = f"http://{address}/metrics"
+        if kind == "machine-list":
+            url = f"http://{address}/machines"
+        if kind == "weight-store":
+            url = f"http://{address}/pools/none/versions"
+        self.standins[name] = ManagedProcess(name, command, url, self.out)
+
+    def _plan_standins(self) -> None:
+        platform = self.spec.platform
+        self._add_standin("key-value", "key-value", platform.key_value)
+        self._add_standin("machine-list", "machine-list", platform.machine_list)
+        samplers = self.spec.samplers
+        sampler_flags = [
+            "--time-scale",
+            str(samplers.time_scale),
+            "--median-length",
+            str(samplers.median_length),
+            "--max-running",
+            str(samplers.max_running),
+        ]
+        for document in self.documents:
+            if isinstance(document, WeightPolicy):
+                self._add_standin("weight-store", "weight-store", document.store)
+            if isinstance(document, SamplerPool):
+                for sampler in document.samplers:
+                    self._add_standin(sampler.name, "sampler", sampler.address, *sampler_flags)
+            if isinstance(document, Service):
+                for back_end in document.back_ends:
+                    self._add_standin(back_end.name, "app", back_end.address)
+
+    def _plan_nodes(self) -> None:
+        number = 0
+        for index in range(self.spec.nodes_per_zone):
+            for zone in self.spec.zones:
+                number += 1
+                name = f"node-{zone}-{index + 1}"
+                host = f"127.0.{self.spec.address_base}.{number}"
+                settings = self.out / f"{name}.toml"
+                settings.write_text(self._settings(name, zone, host), encoding="utf-8")
+                url = f"http://{host}:{CALLER_PORT}/healthz"
+                self.nodes[name] = ManagedProcess(name, node_command(settings), url, self.out)
+                self.node_addresses[name] = f"{host}:{CALLER_PORT}"
+                self.node_zones[name] = zone
+
+    def peer_address(self, host: str) -> str:
+        """Where peers reach the node at `host`: directly, or through its link proxy."""
+        if self.links is None:
+            return f"{host}:{PEER_PORT}"
+        return f"{host}:{PROXY_PORT}"
+
+    def _settings(self, name: str, zone: str, host: str) -> str:
+        seeds = [
+            self.peer_address(f"127.0.{self.spec.address_base}.{number}")
+            for number in range(1, len(self.spec.zones) + 1)
+        ]
+        lines = [
+            f'name = "{name}"',
+            f'region = "{self.spec.region}"',
+            f'zone = "{zone}"',
+            f'listen_host = "{host}"',
+            f"caller_port = {CALLER_PORT}",
+            f"peer_port = {PEER_PORT}",
+            f'advertise_peer = "{self.peer_address(host)}"',
+            f'bind_outgoing = "{host}"',
+            f'key_value = ["{self.spec.platform.key_value}"]',
+            f'machine_list = "{self.spec.platform.machine_list}"',
+            f"seeds = {seeds!r}".replace("'", '"'),
+            "[timing]",
+            *(f'{name} = "{value}"' for name, value in self.spec.timing.items()),
+        ]
+        return "\n".join(lines) + "\n"
+
+    # --- running
+
+    async def start(self) -> None:
+        """Start everything and wait until it is up."""
+        self.session = aiohttp.ClientSession(timeout=aiohttp.ClientTimeout(total=5.0))
+        self._plan_standins()
+        self._plan_nodes()
+        if self.links is not None:
+            for name, address in self.node_addresses.items():
+                host = address.partition(":")[0]
+                await self.links.open(name, host, PROXY_PORT, PEER_PORT)
+        processes = [*self.standins.values(), *self.nodes.values()]
+        for process in processes:
+            await process.start()
+        await asyncio.gather(*(process.wait_until_up(self.session) for process in processes))
+
+    async def wait_until_ready(self) -> None:
+        """Until every node takes new work."""
+        async with asyncio.timeout(READY_TIMEOUT_SECONDS):
+            for address in self.node_addresses.values():
+                while not await self.is_ready(address):
+                    await asyncio.sleep(0.05)
+
+    async def is_ready(self, address: str) -> bool:
+        """Whether one node takes new work."""
+        try:
+            async with self.session.get(f"http://{address}/readyz") as answer:
+                return answer.status == 200
+        except (aiohttp.ClientError, TimeoutError):
+            return False
+
+    async def order_fault(self, address: str, **fault: Any) -> None:
+        """Ask a stand-in for a fault."""
+        try:
+            async with self.session.post(f"http://{address}/_faults", json=fault):
+                pass
+        except (aiohttp.ClientError, TimeoutError):
+            pass  # a stand-in that was killed needs no further fault
+
+    async def stop(self) -> dict[str, int]:
+        """Stop all; nodes first, gracefully. Returns exit codes of the nodes."""
+        codes = {}
+        for name, node in self.nodes.items():
+            if node.is_running():
+                codes[name] = await node.stop()
+        for standin in self.standins.values():
+            if standin.is_running():
+                await standin.stop()
+        if self.links is not None:
+            await self.links.close()
+        await self.session.close()
+        return codes
+
+    async def kill_all(self) -> None:
+        """End every process that still runs."""
+        for process in [*self.nodes.values(), *self.standins.values()]:
+            if process.is_running():
+                await process.kill()
--- /dev/null
+++ b/src/crankseam_experiments/spec.py
@@ -0,0 +1,151 @@
+"""Experiment files: TOML, checked in one place."""
+
+from __future__ import annotations
+
+from pathlib import Path
+from typing import Literal
+
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from crankseam.config.kinds import Address, Name
+from crankseam.errors import FieldError, InvalidConfiguration
+from crankseam.settings import line_of_toml_field, read_toml
+
+
+class _Concern(BaseModel):
+    model_config = ConfigDict(extra="forbid", frozen=True)
+
+
+class Platform(_Concern):
+    """Where the platform's stand-ins listen."""
+
+    key_value: Address
+    machine_list: Address
+
+
+class Samplers(_Concern):
+    """The emulators' parameters that an experiment may set."""
+
+    time_scale: float = Field(default=1.0, gt=0)
+    median_length: int = Field(default=200, ge=1)
+    max_running: int = Field(default=64, ge=1)
+
+
+class TrainerLoad(_Concern):
+    """What the trainer asks for. Seconds are real ones."""
+
+    name: Name
+    steps: int = Field(ge=1)
+    groups_per_step: int = Field(ge=1)
+    samples_per_group: int = Field(ge=1)
+    max_tokens: int = Field(ge=1)
+    train_seconds: float = Field(ge=0)
+
+
+class CallerLoad(_Concern):
+    """What the callers ask for."""
+
+    service: Name
+    rate: float = Field(gt=0)
+    seconds: float = Field(gt=0)
+    deadline: float = Field(gt=0)
+    read_share: float = Field(ge=0, le=1)
+
+
+FaultName = Literal[
+    "kill_node",
+    "pause_node",
+    "cut_link",
+    "cut_one_way",
+    "cut_zone",
+    "slow_link",
+    "key_value_down",
+    "key_value_slow",
+    "lose_answers",
+    "lapse_leases",
+    "kill_sampler",
+    "break_streams",
+    "fail_loads",
+    "kill_app",
+    "leave_app",
+    "leave_sampler",
+    "planned_stop",
+    "kill_trainer",
+    "race_operators",
+]
+
+
+class FaultPlan(_Concern):
+    """Which faults come, and how often. The seed chooses which and when."""
+
+    kinds: list[FaultName]
+    count: int = Field(ge=0)
+    first_at: float = Field(default=4.0, ge=0)
+    """Seconds after the load began."""
+    spacing: float = Field(default=2.0, gt=0)
+    """Mean seconds between faults; two may overlap."""
+    duration: float = Field(default=3.0, gt=0)
+    """Seconds that a pause, cut or outage lasts."""
+
+
+class Experiment(_Concern):
+    """One experiment with separate processes."""
+
+    name: str
+    kind: Literal["processes"] = "processes"
+    configuration: list[str] = Field(min_length=1)
+    """Files or folders, relative to the experiment file."""
+    region: Name
+    zones: list[Name] = Field(min_length=1)
+    nodes_per_zone: int = Field(default=1, ge=1, le=20)
+    address_base: int = Field(ge=1, le=250)
+    """Nodes listen on 127.0.BASE.N."""
+    platform: Platform
+    samplers: Samplers = Samplers()
+    trainer: TrainerLoad | None = None
+    callers: CallerLoad | None = None
+    faults: FaultPlan | None = None
+    timing: dict[str, str] = {}
+    """Overrides of the nodes' timing settings."""
+    policies: list[dict[str, str]] = []
+
+
+class ScaleExperiment(_Concern):
+    """Hollow nodes at several sizes."""
+
+    name: str
+    kind: Literal["scale"]
+    sizes: list[int] = Field(min_length=1)
+    regions: int = Field(ge=1)
+    zones: int = Field(ge=1)
+    nodes_per_process: int = Field(default=60, ge=1)
+    back_ends: int = Field(default=600, ge=0)
+    """Samplers at the largest size; smaller sizes get their share."""
+    settle_seconds: float = Field(default=10.0, gt=0)
+    measure_seconds: float = Field(default=20.0, gt=0)
+    changes: int = Field(default=50, ge=1)
+    record_slots: int = Field(default=48, ge=1)
+    faults: bool = True
+    timing: dict[str, str] = {}
+
+
+AnyExperiment = Experiment | ScaleExperiment
+
+
+def load_experiment(file: Path) -> AnyExperiment:
+    """Read and check an experiment file.
+
+    Raises:
+        InvalidConfiguration: with one FieldError for each thing wrong.
+    """
+    text, content = read_toml(file)
+    model = ScaleExperiment if content.get("kind") == "scale" else Experiment
+    try:
+        return model.model_validate(content)
+    except ValidationError as error:
+        errors = []
+        for detail in error.errors():
+            field = ".".join(str(step) for step in detail["loc"])
+            line = line_of_toml_field(text, detail["loc"])
+            errors.append(FieldError(str(file), line, field, detail["msg"]))
+        raise InvalidConfiguration("the experiment is not valid", errors) from None
--- /dev/null
+++ b/src/crankseam_standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the outside systems, with faults that can be asked for."""
--- /dev/null
+++ b/src/crankseam_standins/app.py
@@ -0,0 +1,73 @@
+"""Stand-in of an app back end: books slots or takes orders, and keeps account of what ran."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+import random
+import time
+
+from aiohttp import web
+
+from crankseam_standins.account import Account
+from crankseam_standins.faults import Faults
+
+PADDING_BYTES = 200
+
+
+def expected_answer(operation: str, body: bytes) -> str:
+    """The answer that belongs to a request: callers can check that they got their own."""
+    digest = hashlib.sha256(operation.encode() + body).hexdigest()
+    return f"{operation}:{digest}" + "." * PADDING_BYTES
+
+
+class AppStandin:
+    """Answers after a random work time; each operation that runs is written down."""
+
+    def __init__(self, name: str, work_seconds: float, account: Account) -> None:
+        self.name = name
+        self.faults = Faults()
+        self._work_seconds = work_seconds
+        self._random = random.Random(name)
+        self._running = 0
+        self._account = account
+
+    def application(self) -> web.Application:
+        """The HTTP application."""
+        app = web.Application(client_max_size=16 * 1024 * 1024)
+        self.faults.add_routes(app)
+        app.router.add_get("/metrics", self._metrics)
+        app.router.add_route("*", "/{path:.*}", self._serve)
+        return app
+
+    async def _serve(self, request: web.Request) -> web.Response:
+        body = await request.read()
+        operation = request.headers.get("Idempotency-Key", request.headers.get("Request-Id", ""))
+        self._account.append(
+            {
+                "operation": operation,
+                "request": request.headers.get("Request-Id", ""),
+                "method": request.method,
+                "path": request.path,
+                "at": time.time(),
+                "leaving": self.faults.leaving,
+            }
+        )
+        self._running += 1
+        try:
+            if self._work_seconds:
+                await asyncio.sleep(self._random.expovariate(1 / self._work_seconds))
+        finally:
+            self._running -= 1
+        if self.faults.take_lost_answer() and request.transport is not None:
+            request.transport.abort()
+        return web.Response(text=expected_answer(operation, body))
+
+    async def _metrics(self, _request: web.Request) -> web.Response:
+        lines = {
+            "app:num_requests_running": self._running,
+            "app:num_requests_waiting": 0,
+            "app:leaving": int(self.faults.leaving),
+        }
+        text = "".join(f"# TYPE {k} gauge\n{k} {v}\n" for k, v in lines.items())
+        return web.Response(text=text)
--- /dev/null
+++ b/src/crankseam_standins/trainer.py
@@ -0,0 +1,221 @@
+"""Stand-in of a trainer: opens steps, reads their samples, trains, publishes weights.
+
+It trains on step k while step k+1 is generated. What it received it writes to a journal before it
+counts it as received; after a crash the journal is its truth.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import aiohttp
+import msgspec
+
+from crankseam.rollout.cursor import format_cursor
+from crankseam.rollout.messages import OpenStep, SampleRequest, SampleResult
+from crankseam_standins.account import Account, read_account
+
+RETRY_SECONDS = 0.2
+STREAM_SILENCE_SECONDS = 30.0
+
+
+@dataclass(frozen=True)
+class TrainerPlan:
+    """What the trainer does."""
+
+    name: str
+    nodes: list[str]
+    store: str
+    pool: str
+    steps: int
+    groups_per_step: int
+    samples_per_group: int
+    max_tokens: int
+    train_seconds: float
+    seed: int = 0
+
+
+@dataclass
+class TrainerReport:
+    """Times of one run, in seconds."""
+
+    idle: float = 0.0
+    training: float = 0.0
+    step_seconds: list[float] = field(default_factory=list)
+    received: int = 0
+    reconnects: int = 0
+
+
+class TrainerStandin:
+    """Runs a plan to its end."""
+
+    def __init__(self, plan: TrainerPlan, journal: Path | None) -> None:
+        self._plan = plan
+        self._journal_path = journal
+        self._journal = Account(journal)
+        self._nodes = itertools.cycle(plan.nodes)
+        self._node = next(self._nodes)
+        self._received: dict[int, set[int]] = {}
+        self._opened_at: dict[int, int] = {}
+        self._first_step = 0
+        self.version = 1
+        self.report = TrainerReport()
+
+    def _restore(self) -> None:
+        """Take up from the journal what an earlier run received."""
+        for entry in read_account(self._journal_path) if self._journal_path else []:
+            if entry["event"] == "opened":
+                self._opened_at[entry["step"]] = entry["at_ms"]
+            if entry["event"] == "sample":
+                self._received.setdefault(entry["step"], set()).add(entry["index"])
+            if entry["event"] == "version":
+                self.version = entry["version"]
+            if entry["event"] == "trained":
+                self._first_step = entry["step"] + 1
+
+    async def run(self) -> TrainerReport:
+        """Carry the plan out."""
+        self._restore()
+        async with aiohttp.ClientSession() as self._session:
+            await self._publish()
+            pending = asyncio.create_task(self._collect(self._first_step))
+            for step in range(self._first_step, self._plan.steps):
+                waited_from = time.monotonic()
+                await pending
+                self.report.idle += time.monotonic() - waited_from
+                if step + 1 < self._plan.steps:
+                    pending = asyncio.create_task(self._collect(step + 1))
+                    # One turn, so that the next step is opened before training begins.
+                    await asyncio.sleep(0)
+                await self._train(step)
+        self._journal.close()
+        return self.report
+
+    async def _train(self, step: int) -> None:
+        await asyncio.sleep(self._plan.train_seconds)
+        self.report.training += self._plan.train_seconds
+        self._journal.append({"event": "trained", "step": step})
+        await self._advance_version()
+
+    async def _advance_version(self) -> None:
+        """Raise the version. A stream that is being read was opened under the old one, so it is
+        ended first: the version stated to crankseam holds for as long as a stream is read."""
+        if self._reading is not None:
+            self._reading.cancel()
+            await asyncio.gather(self._reading, return_exceptions=True)
+        self.version += 1
+        self._journal.append({"event": "version", "version": self.version})
+        await self._publish()
+
+    async def _publish(self) -> None:
+        url = f"http://{self._plan.store}/_publish/{self._plan.pool}/{self.version}"
+        while True:
+            try:
+                async with self._session.post(url) as answer:
+                    if answer.status == 200:
+                        return
+            except aiohttp.ClientError:
+                pass
+            await asyncio.sleep(RETRY_SECONDS)
+
+    # --- one step
+
+    _reading: asyncio.Task[bool] | None = None
+
+    def samples(self, step: int) -> list[SampleRequest]:
+        """The samples of a step; the same for the same plan."""
+        samples: list[SampleRequest] = []
+        for group in range(self._plan.groups_per_step):
+            # Groups come back in later steps, as prompts of a data set do in later epochs.
+            group_name = f"{self._plan.name}-{self._plan.seed}-{(step * 7 + group) % 97}"
+            for member in range(self._plan.samples_per_group):
+                shared = " ".join(f"{group_name}w{word}" for word in range(32))
+                prompt = f"{group_name}|{shared} step {step} member {member}"
+                samples.append(
+                    SampleRequest(len(samples), prompt, group_name, self._plan.max_tokens)
+                )
+        return samples
+
+    async def _collect(self, step: int) -> None:
+        """Open the step and read until it is whole, through whatever node answers."""
+        started = time.monotonic()
+        samples = self.samples(step)
+        if step not in self._opened_at:
+            self._opened_at[step] = time.time_ns() // 1_000_000
+            self._journal.append(
+                {
+                    "event": "opened",
+                    "step": step,
+                    "at_ms": self._opened_at[step],
+                    "samples": len(samples),
+                }
+            )
+        received = self._received.setdefault(step, set())
+        while len(received) < len(samples):
+            self._reading = asyncio.create_task(self._read_once(step, samples, received))
+            try:
+                came_through = await self._reading
+            except asyncio.CancelledError:
+                task = asyncio.current_task()
+                if task is not None and task.cancelling():
+                    raise
+                continue  # the version moved on: open the stream again under the new one
+            if not came_through and len(received) < len(samples):
+                self.report.reconnects += 1
+                self._node = next(self._nodes)
+                await asyncio.sleep(RETRY_SECONDS)
+        self._reading = None
+        await self._acknowledge(step, received)
+        self.report.step_seconds.append(time.monotonic() - started)
+
+    async def _read_once(self, step: int, samples: list[SampleRequest], received: set[int]) -> bool:
+        """Open and read through one node; False when it broke off."""
+        version = self.version
+        base = f"http://{self._node}/trainers/{self._plan.name}/steps"
+        query = {"version": str(version), "after": format_cursor(received)}
+        opening = OpenStep(step, self._opened_at[step], samples)
+        timeout = aiohttp.ClientTimeout(total=None, sock_read=STREAM_SILENCE_SECONDS)
+        try:
+            body = msgspec.json.encode(opening)
+            async with self._session.post(base, params=query, data=body, timeout=timeout) as answer:
+                if answer.status != 200:
+                    return False
+            url = f"{base}/{step}/samples"
+            async with self._session.get(url, params=query, timeout=timeout) as answer:
+                if answer.status != 200:
+                    return False
+                async for line in answer.content:
+                    self._take(line, step, version, received)
+        except (aiohttp.ClientError, TimeoutError, ConnectionError, ValueError):
+            return False
+        return len(received) == len(samples)
+
+    def _take(self, line: bytes, step: int, version: int, received: set[int]) -> None:
+        result = msgspec.json.decode(line, type=SampleResult)
+        # Journalled first, duplicates too: the auditor must be able to see them.
+        self._journal.append(
+            {
+                "event": "sample",
+                "step": step,
+                "index": result.index,
+                "tokens": result.tokens,
+                "segments": [[s.version, s.start, s.end] for s in result.segments],
+                "trainer_version": version,
+                "at": time.time(),
+            }
+        )
+        received.add(result.index)
+        self.report.received += 1
+
+    async def _acknowledge(self, step: int, received: set[int]) -> None:
+        url = f"http://{self._node}/trainers/{self._plan.name}/steps/{step}/ack"
+        body = msgspec.json.encode({"cursor": format_cursor(received)})
+        try:
+            async with self._session.post(url, data=body):
+                pass
+        except aiohttp.ClientError:
+            pass  # acknowledging only frees memory early
