--- a/src/crankseam/backoff.py
+++ b/src/crankseam/backoff.py
@@ -59,7 +59,9 @@
 
     async def take(self) -> None:
         """Take one token, waiting for it if need be."""
-        while not self.try_take():
+        while True:
+            if self.try_take():
+                return
             await asyncio.sleep(self._seconds_until_token())
 
 
