Send loads from one watcher, and replica sets only until acknowledged

Cause: at 150 hollow nodes 6.2 of 8.9 KB/s of a zone relay were digest entries, most of them loads of samplers, told twice (two watchers) and at each small move; replica sets went with every heartbeat. Change: the first watcher reports loads, the second only what must not be missed; steps of 4 at least; sets are sent until acknowledged.

--- a/src/crankseam/cluster/membership.py
+++ b/src/crankseam/cluster/membership.py
@@ -32,6 +32,7 @@
     HeartbeatAnswer,
     Member,
     Nudge,
+    ReplicaSet,
 )
 from crankseam.records.slots import ranked
 
@@ -47,6 +48,8 @@
 NO_ENTRIES = -1
 MIN_NUDGE_INTERVAL = 0.25
 READINGS_PER_TERM = 5
+EXCHANGE_KEY = "exchange/"
+"""Versions taken by exchange are kept apart: an exchange carries only the peer's own zone."""
 FREQUENT_SEED_BEATS = 5
 SEED_CONTACT_BEATS = 15
 
@@ -65,6 +68,7 @@
         self._known_versions: dict[str, tuple[int, int]] = {}
         self._failed_at: dict[str, float] = {}
         self._sent_reports: dict[str, tuple[int, int]] = {}
+        self._sent_epochs: dict[str, dict[int, int]] = {}
         self._wake = asyncio.Event()
         self._beats = 0
         self._last_nudge = 0.0
@@ -211,7 +215,7 @@
 
     async def _beat_one(self, relay: Member, entries_wanted: bool) -> None:
         incarnation, version = self._known_versions.get(relay.name, (0, 0))
-        sets = self._own_replica_sets()
+        sets = self._unsent_sets(relay.name)
         message = Heartbeat(
             self._agent.own,
             self._unsent_reports(relay.name),
@@ -228,7 +232,7 @@
             self._failed_at[relay.name] = time.monotonic()
             return
         self._failed_at.pop(relay.name, None)
-        self._note_sent(relay.name, answer.relay_incarnation, message.back_ends)
+        self._note_sent(relay.name, answer.relay_incarnation, message)
         self._agent.digest.learn(answer.entries)
         if entries_wanted:
             self._known_versions[relay.name] = (answer.relay_incarnation, answer.entries.version)
@@ -239,22 +243,28 @@
         _incarnation, newest = self._sent_reports.get(relay, (0, 0))
         return [report for report in self.observed_reports() if report.sequence > newest]
 
-    def _note_sent(self, relay: str, incarnation: int, reports: list[BackEndReport]) -> None:
-        known, newest = self._sent_reports.get(relay, (incarnation, 0))
-        if known != incarnation:
-            newest = 0  # another run of the relay: it has nothing yet, send all once more
-        else:
-            newest = max([newest, *(report.sequence for report in reports)])
-        self._sent_reports[relay] = (incarnation, newest)
-
-    def _own_replica_sets(self) -> list:
-        """Sets this node is a replica of and that the relay may not have heard of."""
+    def _unsent_sets(self, relay: str) -> list[ReplicaSet]:
+        """Sets this node is a replica of and that the relay has not acknowledged yet."""
+        acknowledged = self._sent_epochs.get(relay, {})
         return [
             slot.replica_set
             for slot in self._agent.replicas.slots.values()
-            if slot.sealed_by is None and slot.replica_set.epoch > 1
+            if slot.sealed_by is None
+            and slot.replica_set.epoch > acknowledged.get(slot.replica_set.slot, 0)
         ]
 
+    def _note_sent(self, relay: str, incarnation: int, message: Heartbeat) -> None:
+        known, newest = self._sent_reports.get(relay, (incarnation, 0))
+        if known != incarnation:
+            # Another run of the relay: it has nothing yet, so all is sent once more.
+            self._sent_reports[relay] = (incarnation, 0)
+            self._sent_epochs.pop(relay, None)
+            return
+        newest = max([newest, *(report.sequence for report in message.back_ends)])
+        self._sent_reports[relay] = (incarnation, newest)
+        epochs = self._sent_epochs.setdefault(relay, {})
+        epochs.update({sent.slot: sent.epoch for sent in message.replica_sets})
+
     def _is_seed_contact_due(self) -> bool:
         """Often at first, then rarely: groups that started apart find each other through seeds."""
         self._beats += 1
@@ -287,10 +297,15 @@
     # --- a relay's side
 
     async def _relay_work(self) -> None:
-        pulls = [self._pull_from_zone(zone) for zone in self._agent.digest.zones()]
-        await asyncio.gather(*pulls)
+        first = self.relays()[0].name == self._settings.name
+        # The second relay takes the other zones' news from the first, its parent.
+        zones = self._agent.digest.zones() if first else [self._settings.zone]
+        await asyncio.gather(*(self._pull_from_zone(zone) for zone in zones))
         self._declare_silent_members()
-        self._declare_silent_zones()
+        if first:
+            self._declare_silent_zones()
+        else:
+            self._zone_heard_at.clear()
 
     async def _pull_from_zone(self, zone: str) -> None:
         own_zone = zone == self._settings.zone
@@ -303,7 +318,8 @@
             await self._pull(candidates[0].peer_address, candidates[0].name, zone)
 
     async def _pull(self, address: str, name: str, from_zone: str | None) -> None:
-        incarnation, version = self._known_versions.get(name, (0, 0))
+        key = f"{EXCHANGE_KEY}{name}"
+        incarnation, version = self._known_versions.get(key, (0, 0))
         zones = len(self._agent.digest.zones())
         message = Exchange(self._agent.own, incarnation, version, zones)
         try:
@@ -315,7 +331,7 @@
             return
         self._failed_at.pop(name, None)
         self._agent.digest.learn(answer.entries)
-        self._known_versions[name] = (answer.relay_incarnation, answer.entries.version)
+        self._known_versions[key] = (answer.relay_incarnation, answer.entries.version)
         if from_zone is not None:
             self._zone_heard_at[from_zone] = time.monotonic()
         if from_zone == self._settings.zone:
@@ -330,8 +346,9 @@
         since = message.known_version if same_run else 0
         same_zone = message.member.zone == self._settings.zone
         same_region = message.member.region == self._settings.region
-        # First contact (nothing known yet) gets all members; relays only need this zone's.
-        zone = None if since == 0 or same_zone else self._settings.zone
+        # First contact (nothing known yet) gets all members. After that only this zone's: the
+        # others the caller takes from their own zones, or from its parent.
+        zone = None if since == 0 else self._settings.zone
         entries = agent.digest.changes_since(since, zone, regional=same_region)
         if message.known_zones < len(agent.digest.zones()):
             entries.members += self._other_zone_relays()
--- a/src/crankseam/controllers/back_end_watch.py
+++ b/src/crankseam/controllers/back_end_watch.py
@@ -20,13 +20,14 @@
 log = logging.getLogger(__name__)
 
 WATCHERS_PER_BACK_END = 2
-RENEW_SECONDS = 5.0
+RENEW_SECONDS = 8.0
 """An unchanged report is sent again this often, so that others know it is not stale."""
 
-MIN_LOAD_SECONDS = 1.0
+SECOND_RENEW_SECONDS = 15.0
+MIN_LOAD_SECONDS = 2.0
 """A load alone is reported at most this often; what a node sent since then it adds itself."""
 
-LOAD_STEP = 2
+LOAD_STEP = 4
 LOAD_RATIO = 0.2
 """A load is reported again once it moved by more than both of these."""
 
@@ -68,6 +69,7 @@
         self._notes: dict[str, list[BackEndReport]] = {}
         self._sequence = 0
         self._reconciled_for = (-1, -1)
+        self._first_for: set[str] = set()
         agent.membership.observed_reports = self.current_reports
 
     def current_reports(self) -> list[BackEndReport]:
@@ -102,6 +104,8 @@
             return
         self._reconciled_for = basis
         wanted = {t.name: t for t in all_targets(self._agent.lease.snapshot) if self._is_mine(t)}
+        own = self._agent.settings.name
+        self._first_for = {name for name, t in wanted.items() if self._watchers(t)[0] == own}
         for name in list(self._watches):
             if name not in wanted:
                 self._watches.pop(name).cancel()
@@ -113,6 +117,11 @@
     def _is_mine(self, target: Target) -> bool:
         return self._agent.settings.name in self._watchers(target)
 
+    def _is_first_watcher(self, name: str) -> bool:
+        """The first watcher reports loads; the second one only what must not be missed, and
+        takes over as the first once the other is known to be dead."""
+        return name in self._first_for
+
     def _watchers(self, target: Target) -> list[str]:
         digest = self._agent.digest
         candidates = digest.alive_in_zone(target.back_end.zone)
@@ -165,11 +174,11 @@
 
     def _is_news(self, old: BackEndReport, new: BackEndReport) -> bool:
         age = time.monotonic() - self._sent_at[new.target]
-        if age > RENEW_SECONDS:
+        if age > (RENEW_SECONDS if self._is_first_watcher(new.target) else SECOND_RENEW_SECONDS):
             return True
         if (old.alive, old.leaving, old.version) != (new.alive, new.leaving, new.version):
             return True
-        if age < MIN_LOAD_SECONDS:
+        if age < MIN_LOAD_SECONDS or not self._is_first_watcher(new.target):
             return False
         before = old.running + old.waiting
         moved = abs(new.running + new.waiting - before)
--- a/src/crankseam/peers/transport.py
+++ b/src/crankseam/peers/transport.py
@@ -62,11 +62,13 @@
         self._queued: list[bytes] = []
         self.bytes_sent = 0
 
-    def send(self, frame: Frame) -> None:
-        """Queue a frame; it leaves at the end of this turn of the loop."""
+    def send(self, frame: Frame) -> int:
+        """Queue a frame, which leaves at the end of this turn of the loop; returns its bytes."""
         if not self._queued:
             asyncio.get_running_loop().call_soon(self._flush)
-        self._queued.append(encode_frame(frame))
+        encoded = encode_frame(frame)
+        self._queued.append(encoded)
+        return len(encoded)
 
     def _flush(self) -> None:
         data = b"".join(self._queued)
@@ -88,12 +90,14 @@
     bytes_in: int = 0
     frames_out: int = 0
     by_type: dict[str, int] = field(default_factory=dict)
+    bytes_by_type: dict[str, int] = field(default_factory=dict)
 
-    def count_out(self, message: AnyMessage) -> None:
-        """Count one message sent."""
+    def count_out(self, message: AnyMessage, size: int) -> None:
+        """Count one message sent, of `size` bytes."""
         self.frames_out += 1
         name = type(message).__name__
         self.by_type[name] = self.by_type.get(name, 0) + 1
+        self.bytes_by_type[name] = self.bytes_by_type.get(name, 0) + size
 
 
 class OutgoingConnection:
@@ -159,8 +163,8 @@
                 writer = self._writer or await self._connect()
                 waiter = asyncio.get_running_loop().create_future()
                 self._waiting[number] = waiter
-                writer.send(Frame(number, False, message))
-                self._transport.traffic.count_out(message)
+                size = writer.send(Frame(number, False, message))
+                self._transport.traffic.count_out(message, size)
                 return await waiter
         except TimeoutError as error:
             raise PeerTimeout(self._address) from error
@@ -298,8 +302,7 @@
         finally:
             running.release()
         if answer is not None and frame.call:
-            self.traffic.count_out(answer)
-            writer.send(Frame(frame.call, True, answer))
+            self.traffic.count_out(answer, writer.send(Frame(frame.call, True, answer)))
 
     def current_bytes_out(self) -> int:
         """Bytes sent so far, over closed and open connections."""
--- a/src/crankseam_experiments/hollow.py
+++ b/src/crankseam_experiments/hollow.py
@@ -157,6 +157,7 @@
             "bytes_out": self.transport.current_bytes_out(),
             "frames_out": self.transport.traffic.frames_out,
             "by_type": dict(self.transport.traffic.by_type),
+            "bytes_by_type": dict(self.transport.traffic.bytes_by_type),
             "key_value_requests": self.key_value.requests_sent,
             "moves": self.placement.moves,
             "incarnation": agent.incarnation,
--- a/src/crankseam_experiments/scale.py
+++ b/src/crankseam_experiments/scale.py
@@ -36,6 +36,16 @@
     }
 
 
+def _rates(old: dict[str, int], new: dict[str, int], seconds: float) -> dict[str, float]:
+    return {kind: (count - old.get(kind, 0)) / seconds for kind, count in new.items()}
+
+
+def _mean_by_type(members: list[dict[str, Any]], field: str) -> dict[str, float]:
+    kinds = {kind for member in members for kind in member[field]}
+    total = {kind: sum(m[field].get(kind, 0.0) for m in members) for kind in sorted(kinds)}
+    return {kind: round(value / len(members), 2) for kind, value in total.items() if value}
+
+
 def _log(text: str) -> None:
     print(text, file=sys.stderr, flush=True)
 
@@ -106,6 +116,8 @@
                     "slots": node["slots"],
                     "bytes": (node["bytes_out"] - old["bytes_out"]) / seconds,
                     "frames": (node["frames_out"] - old["frames_out"]) / seconds,
+                    "by_type": _rates(old["by_type"], node["by_type"], seconds),
+                    "bytes_by_type": _rates(old["bytes_by_type"], node["bytes_by_type"], seconds),
                 }
             )
         return rates
@@ -128,6 +140,8 @@
                     sum(m["frames"] for m in members) / len(members), 1
                 ),
                 "frames_per_second_max": round(max(m["frames"] for m in members), 1),
+                "frames_by_type": _mean_by_type(members, "by_type"),
+                "bytes_by_type": _mean_by_type(members, "bytes_by_type"),
                 "cpu_percent_max": round(
                     max(m["frames"] for m in members) * cpu_per_frame * 100, 2
                 ),
