--- a/tests/records/test_proposer.py
+++ b/tests/records/test_proposer.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crankseam.errors import NoQuorum, RecordExpired
-from crankseam.peers.messages import FAST_BALLOT, Accept
+from crankseam.peers.messages import FAST_BALLOT, Accept, Install, Seal
 from crankseam.records.proposer import RecordKey
 from tests.support.memory_cluster import MemoryCluster
 
@@ -105,7 +105,6 @@
     del cluster.stores["c@1"]
     cluster.add("d@1")
     # The mover dies after installing on one new member: its other installations are lost.
-    from crankseam.peers.messages import Install
 
     cluster.lose_request = lambda caller, target, message: (
         isinstance(message, Install) and target != "a@1"
@@ -128,3 +127,16 @@
     cluster.stores["c@1"].drop(0)
     cluster.stores["c@1"].adopt(replica_set)
     assert 0 not in cluster.stores["c@1"].slots
+
+
+async def test_a_move_needs_the_state_of_a_majority(cluster):
+    replica_set = cluster.found(MEMBERS)
+    client = cluster.client("p@1", replica_set)
+    cluster.lose_request = lambda caller, target, message: target == "c@1"
+    await client.proposer.change(WHERE, lambda value: b"one")
+    cluster.add("d@1")
+    cluster.lose_request = lambda caller, target, message: (
+        isinstance(message, Seal) and target != "c@1"
+    )
+    with pytest.raises(NoQuorum):
+        await client.reconfigurer.move(replica_set, ["a@1", "b@1", "d@1"])
--- /dev/null
+++ b/tests/records/test_record_machine.py
@@ -0,0 +1,222 @@
+"""State machine over records: lost and late messages, crashes, moves, in any order.
+
+Invariant: what a caller was told is agreed stays agreed, and every reader sees it.
+"""
+
+import asyncio
+import random
+
+import msgspec
+from hypothesis import settings
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, rule
+
+from crankseam.errors import RecordError
+from crankseam.peers.messages import Accept, Prepare, ReplicaSet
+from crankseam.records.proposer import RecordKey
+from crankseam.records.slots import majority
+from tests.support.memory_cluster import MemoryCluster
+
+KEYS = [RecordKey(0, f"record-{number}", 1000) for number in range(2)]
+MAX_LATE = 200
+
+
+def decode(value):
+    return msgspec.msgpack.decode(value) if value else []
+
+
+class RecordMachine(RuleBasedStateMachine):
+    """Each change adds an entry of its own to a list, so that no agreed change can be missed."""
+
+    @initialize(seed=st.integers(0, 2**32))
+    def begin(self, seed):
+        self.random = random.Random(seed)
+        self.loop = asyncio.new_event_loop()
+        self.cluster = MemoryCluster([f"{name}@1" for name in "abcde"])
+        self.current: ReplicaSet = self.cluster.found(["a@1", "b@1", "c@1"])
+        self.runs = dict.fromkeys("abcde", 1)
+        self.loss = 0.0
+        self.late = []
+        self.entries = 0
+        self.agreed = {where.key: [] for where in KEYS}
+        self.clients = [self.cluster.client(f"p{n}@1", self.current) for n in range(3)]
+        self.cluster.lose_request = self._lose_request
+        self.cluster.lose_answer = lambda *_args: self.random.random() < self.loss
+
+    def teardown(self):
+        if hasattr(self, "loop"):
+            self.loop.close()
+
+    def _lose_request(self, caller, target, message):
+        if isinstance(message, Accept | Prepare) and len(self.late) < MAX_LATE:
+            if self.random.random() < 0.2:
+                self.late.append((caller, target, message))  # a copy that arrives much later
+        return self.random.random() < self.loss
+
+    def _run(self, work):
+        return self.loop.run_until_complete(work)
+
+    async def _add(self, client, where):
+        self.entries += 1
+        entry = self.entries
+        for _ in range(self.random.randrange(4)):
+            await asyncio.sleep(0)
+
+        def change(value):
+            held = decode(value)
+            return msgspec.msgpack.encode([*held, entry]) if entry not in held else None
+
+        try:
+            value = await client.proposer.change(where, change)
+        except RecordError:
+            return
+        if entry in decode(value):
+            self.agreed[where.key].append(entry)
+
+    async def _create(self, client, where):
+        self.entries += 1
+        entry = self.entries
+        try:
+            owned = await client.proposer.create(where, msgspec.msgpack.encode([entry]))
+            if owned is None:
+                return
+            self.agreed[where.key].append(entry)
+            self.entries += 1
+            second = [entry, self.entries]
+            if await client.proposer.overwrite(where, owned, msgspec.msgpack.encode(second)):
+                self.agreed[where.key].append(second[1])
+        except RecordError:
+            return
+
+    @rule(loss=st.sampled_from([0.0, 0.1, 0.3, 0.5]))
+    def set_loss(self, loss):
+        self.loss = loss
+
+    @rule(count=st.integers(1, 4), fast=st.booleans())
+    def write_at_once(self, count, fast):
+        async def work():
+            jobs = []
+            for _ in range(count):
+                client = self.random.choice(self.clients)
+                where = self.random.choice(KEYS)
+                jobs.append(self._create(client, where) if fast else self._add(client, where))
+            await asyncio.gather(*jobs)
+
+        self._run(work())
+
+    @rule()
+    def late_messages_arrive(self):
+        async def work():
+            self.random.shuffle(self.late)
+            arriving, self.late = self.late, []
+            loss, self.loss = self.loss, 0.0
+            for caller, target, message in arriving:
+                if target in self.cluster.stores:
+                    self.cluster.lose_request, keep = (lambda *_a: False), self._lose_request
+                    await self.cluster.deliver(caller, target, message)
+                    self.cluster.lose_request = keep
+            self.loss = loss
+
+        self._run(work())
+
+    def _sealed_or_serving(self):
+        """Sets that some replica holds; the newest one counts once a majority serves it."""
+        stores = self.cluster.stores.values()
+        return [store.slots[0].replica_set for store in stores if 0 in store.slots]
+
+    def _serving(self, replica_set):
+        serving = 0
+        for member in replica_set.members:
+            store = self.cluster.stores.get(member)
+            held = store.slots.get(0) if store else None
+            serving += held is not None and held.replica_set == replica_set
+        return serving
+
+    @rule(choice=st.integers(0, 4))
+    def crash_and_restart_one(self, choice):
+        """A replica loses its memory; only where that leaves every held set its majority."""
+        name = "abcde"[choice]
+        identity = f"{name}@{self.runs[name]}"
+        for replica_set in self._sealed_or_serving():
+            after = self._serving(replica_set) - (identity in replica_set.members)
+            if identity in replica_set.members and after < majority(replica_set):
+                return
+        self.cluster.stores.pop(identity, None)
+        self.runs[name] += 1
+        self.cluster.add(f"{name}@{self.runs[name]}")
+
+    @rule()
+    def reads_under_loss(self):
+        async def work():
+            for where in KEYS:
+                try:
+                    value = await self.random.choice(self.clients).proposer.read(where)
+                except RecordError:
+                    continue
+                known = set(self.agreed[where.key])
+                assert known <= set(decode(value)), f"{where.key}: a read missed what was agreed"
+                self.agreed[where.key] = decode(value)
+
+        self._run(work())
+
+    @rule(loss=st.sampled_from([0.0, 0.3, 0.6]))
+    def move(self, loss):
+        self.loss = loss
+
+        async def work():
+            client = self.random.choice(self.clients)
+            newest = max(self._sealed_or_serving(), key=lambda s: s.epoch)
+            client.slots.learn(newest)
+            living = [f"{name}@{run}" for name, run in self.runs.items()]
+            members = sorted(self.random.sample(living, 3))
+            try:
+                moved = await client.reconfigurer.move(client.slots.get(0), members)
+            except RecordError:
+                return
+            for other in self.clients:
+                if self.random.random() < 0.7:
+                    other.slots.learn(moved)
+
+        self._run(work())
+
+    @rule()
+    def finish_moves(self):
+        async def work():
+            for store in list(self.cluster.stores.values()):
+                for old, agreed in store.sealed():
+                    client = self.random.choice(self.clients)
+                    try:
+                        await client.reconfigurer.finish(old, agreed)
+                    except RecordError:
+                        continue
+
+        self._run(work())
+
+    @invariant()
+    def what_was_agreed_is_seen(self):
+        if not hasattr(self, "loop"):
+            return
+
+        async def read(where):
+            loss, self.loss = self.loss, 0.0
+            try:
+                newest = max(self._sealed_or_serving(), key=lambda s: s.epoch)
+                if self._serving(newest) < majority(newest):
+                    return None  # a move is half done: nobody is told anything meanwhile
+                reader = self.cluster.client("reader@1", newest)
+                return await reader.proposer.read(where)
+            except RecordError:
+                return None
+            finally:
+                self.loss = loss
+
+        for where in KEYS:
+            value = self._run(read(where))
+            if value is not None:
+                missing = set(self.agreed[where.key]) - set(decode(value))
+                assert not missing, f"{where.key} lost {missing}"
+                self.agreed[where.key] = decode(value)  # what was read once is agreed too
+
+
+RecordMachine.TestCase.settings = settings(max_examples=250, stateful_step_count=40)
+TestRecordMachine = RecordMachine.TestCase
