--- /dev/null
+++ b/tests/cluster/test_membership.py
@@ -0,0 +1,132 @@
+"""Membership over loopback: finding each other, deaths, returns, cuts."""
+
+import pytest
+
+from crankseam.cluster.digest import MemberStatus
+from crankseam.cluster.liveness import LivenessJudge
+from crankseam.peers.messages import Member
+from tests.support.harness import Platform, SmallAgent, eventually, settings_for
+
+
+@pytest.fixture
+async def platform():
+    running = Platform()
+    await running.start(apps=1)
+    await running.apply(running.documents())
+    yield running
+    await running.stop()
+
+
+@pytest.fixture
+async def agents(platform):
+    running: list[SmallAgent] = []
+    yield running
+    for agent in running:
+        await agent.close()
+
+
+async def grow(platform, agents, count, seeds_of=lambda addresses, index: addresses[:2]):
+    addresses: list[str] = []
+    for index in range(count):
+        seeds = seeds_of(addresses, index)
+        agent = SmallAgent(settings_for(index, platform, list(seeds)))
+        addresses.append(await agent.start())
+        agents.append(agent)
+    await eventually(
+        lambda: all(len(a.agent.digest.alive()) == count for a in agents), "all know all"
+    )
+    await eventually(lambda: all(a.agent.lease.is_held() for a in agents), "all ready")
+
+
+async def test_all_find_each_other_and_the_configuration(platform, agents):
+    await grow(platform, agents, 9)
+    assert {a.agent.lease.snapshot.revision for a in agents} == {1}
+
+
+async def test_groups_that_started_apart_find_each_other(platform, agents):
+    """Found with 12 hollow nodes started at once: two groups of 7 and 5 stayed apart.
+
+    Each group has members in several zones; only one link between the groups is known.
+    """
+
+    def seeds_of(addresses, index):
+        if index < 4:
+            return addresses[:1]
+        return addresses[4:5] if index < 7 else [addresses[4], addresses[0]]
+
+    await grow(platform, agents, 8, seeds_of)
+
+
+async def test_a_death_is_known_to_all_and_its_replicas_are_replaced(platform, agents):
+    await grow(platform, agents, 6)
+    victim = agents.pop(1)
+    identity = victim.agent.identity
+    await victim.close()
+    name = victim.agent.settings.name
+
+    def known_dead():
+        statuses = [a.agent.digest.member(name).status for a in agents]
+        return all(status == MemberStatus.DEAD for status in statuses)
+
+    await eventually(known_dead, "all know the death")
+
+    def replaced():
+        sets = agents[0].agent.digest.slots.all()
+        return not any(identity in replica_set.members for replica_set in sets)
+
+    await eventually(replaced, "no slot counts on the dead node")
+    assert not any(
+        m.status == MemberStatus.DEAD for m in agents[0].agent.digest.members() if m.name != name
+    )
+
+
+async def test_a_node_started_during_an_outage_takes_the_newest_revision_from_peers(
+    platform, agents
+):
+    await grow(platform, agents, 3)
+    await platform.apply(platform.documents(max_in_flight=7))
+    await eventually(lambda: all(a.agent.lease.snapshot.revision == 2 for a in agents))
+    platform.key_value.faults.down_until = float("inf")
+    await agents.pop(0).close()
+    late = SmallAgent(settings_for(0, platform, [a.agent.own.peer_address for a in agents]))
+    await late.start()
+    agents.append(late)
+    await eventually(late.agent.lease.is_held, "ready without the key-value service")
+    assert late.agent.lease.snapshot.revision == 2
+
+
+async def test_a_node_that_hears_of_its_own_death_refutes_it(platform, agents):
+    await grow(platform, agents, 3)
+    target = agents[0].agent
+    dead = Member(
+        **{
+            field: getattr(target.own, field)
+            for field in target.own.__struct_fields__
+            if field != "status"
+        },
+        status=int(MemberStatus.DEAD),
+    )
+    agents[1].agent.digest.learn_member(dead)
+    agents[2].agent.digest.learn_member(dead)
+    target.digest.learn_member(dead)
+
+    def alive_again():
+        found = [a.agent.digest.member(target.settings.name) for a in agents]
+        return all(member.status == MemberStatus.ALIVE for member in found)
+
+    await eventually(alive_again, "the death is refuted everywhere")
+
+
+def test_a_relay_that_was_paused_itself_declares_nobody_dead():
+    now = [0.0]
+    judge = LivenessJudge(dead_after=4.0, own_pause=2.0, clock=lambda: now[0])
+    judge.hear(["a", "b"])
+    judge.tick()
+    now[0] = 30.0  # this process was stopped
+    judge.tick()
+    assert judge.silent(["a", "b"]) == []
+    for _ in range(5):
+        now[0] += 1.0
+        judge.tick()
+        judge.hear(["a"])
+    assert judge.silent(["a", "b"]) == ["b"]
