--- /dev/null
+++ b/tests/rollout/test_steps.py
@@ -0,0 +1,207 @@
+"""Steps through real nodes: exactly once, true versions, the bound at delivery."""
+
+import asyncio
+
+import aiohttp
+import msgspec
+import pytest
+
+from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
+from crankseam.identifiers import date_of, new_dated_id
+from crankseam.rollout.cursor import format_cursor, parse_cursor
+from crankseam.rollout.messages import OpenStep, SampleRequest, SampleResult
+from crankseam_standins.sampler import SamplerStandin, sample_length, token_at
+from crankseam_standins.sampler_parameters import SamplerParameters
+from tests.support.harness import ZONES, MemoryAccount, eventually, running_cluster, serve
+
+PARAMETERS = SamplerParameters(
+    time_scale=50.0, median_length=40, report_lag=0.0, load_seconds=0.1, switch_seconds=0.1
+)
+STEP_SAMPLES = 12
+
+
+class Rollout:
+    """A cluster with samplers and a trainer's side."""
+
+    def __init__(self, cluster, samplers, runners, session) -> None:
+        self.cluster = cluster
+        self.samplers: list[SamplerStandin] = samplers
+        self.runners = runners
+        self.session = session
+        self.opened_at = date_of(new_dated_id())
+
+    def samples(self):
+        return [
+            SampleRequest(i, f"group-{i % 3}|prompt {i}", f"group-{i % 3}", 200)
+            for i in range(STEP_SAMPLES)
+        ]
+
+    async def open(self, node, version=1, after=""):
+        body = msgspec.json.encode(OpenStep(0, self.opened_at, self.samples()))
+        url = f"{self.cluster.url(node)}/trainers/trainer/steps"
+        query = {"version": str(version), "after": after}
+        async with self.session.post(url, data=body, params=query) as answer:
+            return answer.status, await answer.json(content_type=None)
+
+    async def stream(self, node, version=1, after="", stop_after=None):
+        url = f"{self.cluster.url(node)}/trainers/trainer/steps/0/samples"
+        query = {"version": str(version), "after": after}
+        results: list[SampleResult] = []
+        async with self.session.get(url, params=query) as answer:
+            assert answer.status == 200, await answer.text()
+            async for line in answer.content:
+                results.append(msgspec.json.decode(line, type=SampleResult))
+                if len(results) == stop_after:
+                    break
+        return results
+
+
+@pytest.fixture
+async def rollout():
+    async with running_cluster() as cluster, aiohttp.ClientSession() as session:
+        samplers, runners, back_ends = [], [], []
+        for number in range(3):
+            sampler = SamplerStandin(f"sampler-{number}", PARAMETERS, 1, MemoryAccount())
+            runner, address = await serve(sampler.application())
+            samplers.append(sampler)
+            runners.append(runner)
+            back_ends.append(BackEnd(name=sampler.name, address=address, zone=ZONES[number]))
+        pool = SamplerPool(
+            kind="SamplerPool",
+            name="pool",
+            home_region="home",
+            samplers=back_ends,
+            max_running_per_sampler=4,
+        )
+        trainer = Trainer(kind="Trainer", name="trainer", pool="pool", staleness_bound=1)
+        await cluster.platform.apply([*cluster.platform.documents(), pool, trainer])
+        await eventually(
+            lambda: all(n.agent.lease.snapshot.revision == 2 for n in cluster.nodes.values())
+        )
+        yield Rollout(cluster, samplers, runners, session)
+        for runner in runners:
+            await runner.cleanup()
+
+
+def assert_whole_and_true(rollout, results):
+    prompts = {sample.index: sample for sample in rollout.samples()}
+    for result in results:
+        prompt = prompts[result.index].prompt
+        length = sample_length(PARAMETERS, prompt, 200)
+        assert result.tokens == [token_at(prompt, i) for i in range(length)]
+        made = [
+            line
+            for sampler in rollout.samplers
+            for line in sampler.account.lines
+            if line.get("request") == f"trainer/0/{result.index}"
+        ]
+        for segment in result.segments:
+            for position in range(segment.start, segment.end):
+                assert any(
+                    line["start"] <= position < line["end"] and line["version"] == segment.version
+                    for line in made
+                )
+
+
+async def test_every_sample_comes_once(rollout):
+    assert (await rollout.open(0))[0] == 200
+    results = await rollout.stream(0)
+    assert sorted(r.index for r in results) == list(range(STEP_SAMPLES))
+    assert parse_cursor(results[-1].cursor) == set(range(STEP_SAMPLES))
+    assert_whole_and_true(rollout, results)
+
+
+async def test_a_stream_goes_on_after_the_cursor_on_another_node(rollout):
+    """Node killed between commit and delivery: nothing is lost, nothing comes twice."""
+    await rollout.open(0)
+    first = await rollout.stream(0, stop_after=3)
+    await rollout.cluster.kill(0)
+    cursor = first[-1].cursor
+    assert (await rollout.open(1, after=cursor))[0] == 200
+    rest = await rollout.stream(1, after=cursor)
+    assert sorted(r.index for r in first + rest) == list(range(STEP_SAMPLES))
+
+
+async def test_what_was_committed_before_is_not_made_again(rollout):
+    await rollout.open(0)
+    results = await rollout.stream(0)
+    made = sum(sampler.tokens_made for sampler in rollout.samplers)
+    await rollout.open(1)
+    again = await rollout.stream(1)
+    assert {(r.index, tuple(r.tokens)) for r in again} == {
+        (r.index, tuple(r.tokens)) for r in results
+    }
+    assert sum(sampler.tokens_made for sampler in rollout.samplers) == made
+
+
+async def test_the_driver_before_stops(rollout):
+    await rollout.open(0)
+    await rollout.open(1)
+    run = rollout.cluster.nodes[0].rollout._runs["trainer", 0]
+    await eventually(lambda: run.superseded, "the old driver noticed")
+
+
+async def test_a_sample_past_the_bound_is_made_again_not_delivered(rollout):
+    await rollout.open(0)
+    run = rollout.cluster.nodes[0].rollout._runs["trainer", 0]
+    await eventually(lambda: run.remaining() == 0, "all committed")
+    for sampler in rollout.samplers:
+        sampler.serving = 3
+    results = await rollout.stream(0, version=3)
+    assert len(results) == STEP_SAMPLES
+    assert {s.version for r in results for s in r.segments} == {3}
+    assert run.dropped_stale == STEP_SAMPLES
+
+
+async def test_versions_are_those_reported_across_a_switch_in_mid_sample(rollout):
+    await rollout.open(0)
+    await eventually(lambda: sum(s.tokens_made for s in rollout.samplers) > 50, "under way")
+    for sampler in rollout.samplers:
+        sampler.serving = 2
+    results = await rollout.stream(0)
+    assert_whole_and_true(rollout, results)
+    assert any(len(result.segments) == 2 for result in results)
+
+
+async def test_a_sampler_that_dies_in_mid_sample_loses_nothing(rollout):
+    await rollout.open(0)
+    await eventually(lambda: rollout.samplers[0].tokens_made > 20, "under way")
+    await rollout.runners[0].cleanup()
+    results = await rollout.stream(0)
+    assert sorted(r.index for r in results) == list(range(STEP_SAMPLES))
+    assert_whole_and_true(rollout, results)
+
+
+async def test_malformed_openings_are_typed_problems(rollout):
+    url = f"{rollout.cluster.url(0)}/trainers/trainer/steps"
+    for body in (b"", b"{}", b"[" * 10_000, b'{"step":1,"opened_at_ms":0,"samples":[]}', b"\xff"):
+        async with rollout.session.post(url, data=body, params={"version": "1"}) as answer:
+            problem = await answer.json(content_type=None)
+            assert (answer.status, problem["outcome"]) == (400, "not_run")
+
+
+def test_cursors_are_ranges():
+    assert format_cursor({0, 1, 2, 5, 7, 8}) == "0-2,5,7-8"
+    assert parse_cursor("0-2,5,7-8") == {0, 1, 2, 5, 7, 8}
+    assert parse_cursor("") == set()
+    for bad in ("x", "3-1", "-1", "0-99999999", "1,,2"):
+        with pytest.raises(ValueError):
+            parse_cursor(bad)
+
+
+async def test_two_results_of_one_sample_the_first_committed_wins(rollout):
+    from crankseam.rollout.messages import Segment
+    from crankseam.rollout.sample_records import SampleRecords
+
+    records = [
+        SampleRecords(rollout.cluster.nodes[n].agent, "trainer", 9, rollout.opened_at)
+        for n in range(3)
+    ]
+    results = [
+        SampleResult("trainer", 9, 0, 0, [n], [Segment(1, 0, 1)], [f"sampler-{n}"])
+        for n in range(3)
+    ]
+    agreed = await asyncio.gather(
+        *(r.commit(result) for r, result in zip(records, results, strict=True))
+    )
+    assert len({record.result for record in agreed}) == 1
