--- a/Makefile
+++ b/Makefile
@@ -17,7 +17,7 @@
 	$(VENV)/bin/crankseam bench run examples/$(EXAMPLE)/demo.toml --seed 1 --out build/demo-$(EXAMPLE)
 
 test: $(STAMP)
-	$(VENV)/bin/python -m pytest -q
+	$(VENV)/bin/python -m pytest -q $(PYTEST_FLAGS)
 
 lint: $(STAMP)
 	$(VENV)/bin/ruff format --check src tests
--- a/src/crankseam/cli/apply.py
+++ b/src/crankseam/cli/apply.py
@@ -25,6 +25,7 @@
     add_node,
     ask_nodes,
     print_json,
+    tls_context,
     with_key_value,
 )
 from crankseam.clients.key_value import KeyValueClient
@@ -64,7 +65,7 @@
     )
     in_force = True
     if arguments.wait:
-        in_force = asyncio.run(_wait(arguments.node, pointer.revision, arguments.timeout))
+        in_force = asyncio.run(_wait(arguments, pointer.revision))
     result = {"revision": pointer.revision, "changes": pointer.changes, "in_force": in_force}
     if arguments.json:
         print_json(result)
@@ -93,13 +94,14 @@
     return await apply_plan(client, plan, operator)
 
 
-async def _wait(nodes: list[str], revision: int, timeout: float) -> bool:
+async def _wait(arguments: argparse.Namespace, revision: int) -> bool:
     """Until every member that is not dead serves under the revision, as one node knows it."""
-    deadline = time.monotonic() + timeout
+    deadline = time.monotonic() + arguments.timeout
+    tls = tls_context(arguments)
     with tqdm(unit="node", disable=not sys.stderr.isatty()) as progress:
         while time.monotonic() < deadline:
             try:
-                status: dict[str, Any] = await ask_nodes(nodes, "/operator/status")
+                status: dict[str, Any] = await ask_nodes(arguments.node, "/operator/status", tls)
             except NodeUnreachable:
                 await asyncio.sleep(POLL_SECONDS)
                 continue
--- a/src/crankseam/cli/common.py
+++ b/src/crankseam/cli/common.py
@@ -5,6 +5,7 @@
 import argparse
 import asyncio
 import json
+import ssl
 from collections.abc import Awaitable, Callable
 from pathlib import Path
 from typing import Any, TypeVar
@@ -47,6 +48,20 @@
         metavar="HOST:PORT",
         help="caller address of a node; may be given several times",
     )
+    parser.add_argument("--tls-authority", type=Path, help="PEM: who signed the nodes' keys")
+    parser.add_argument("--tls-certificate", type=Path, help="PEM: the operator's certificate")
+    parser.add_argument("--tls-key", type=Path, help="PEM: the operator's private key")
+
+
+def tls_context(arguments: argparse.Namespace) -> ssl.SSLContext | None:
+    """TLS towards nodes, if an authority was given."""
+    if arguments.tls_authority is None:
+        return None
+    context = ssl.create_default_context(cafile=str(arguments.tls_authority))
+    context.check_hostname = False  # nodes are reached by IP number, known by their authority
+    if arguments.tls_certificate is not None:
+        context.load_cert_chain(arguments.tls_certificate, arguments.tls_key)
+    return context
 
 
 def add_json(parser: argparse.ArgumentParser) -> None:
@@ -67,7 +82,7 @@
     return asyncio.run(run())
 
 
-async def ask_nodes(nodes: list[str], path: str) -> Any:
+async def ask_nodes(nodes: list[str], path: str, tls: ssl.SSLContext | None = None) -> Any:
     """GET `path` from the first node that answers; the decoded JSON.
 
     Raises:
@@ -78,7 +93,9 @@
     async with aiohttp.ClientSession(timeout=timeout) as session:
         for node in nodes:
             try:
-                async with session.get(f"http://{node}{path}") as answer:
+                scheme = "https" if tls else "http"
+                url = f"{scheme}://{node}{path}"
+                async with session.get(url, ssl=tls or True) as answer:
                     content = await answer.json(content_type=None)
                     if answer.status == 200:
                         return content
--- a/src/crankseam/cli/explain.py
+++ b/src/crankseam/cli/explain.py
@@ -9,7 +9,7 @@
 import asyncio
 
 from crankseam.cli import exit_codes
-from crankseam.cli.common import add_json, add_node, ask_nodes, print_json
+from crankseam.cli.common import add_json, add_node, ask_nodes, print_json, tls_context
 
 
 def add_arguments(parser: argparse.ArgumentParser) -> None:
@@ -21,7 +21,9 @@
 
 def run(arguments: argparse.Namespace) -> int:
     """Ask and print."""
-    decisions = asyncio.run(ask_nodes(arguments.node, f"/operator/explain/{arguments.id}"))
+    decisions = asyncio.run(
+        ask_nodes(arguments.node, f"/operator/explain/{arguments.id}", tls_context(arguments))
+    )
     if arguments.json:
         print_json(decisions)
         return exit_codes.OK
--- a/src/crankseam/errors.py
+++ b/src/crankseam/errors.py
@@ -134,6 +134,13 @@
     type = "bad-request"
 
 
+class Forbidden(Problem):
+    """The caller did not show a key that is needed here."""
+
+    status = 403
+    type = "forbidden"
+
+
 class NotFound(Problem):
     """No such service, trainer or record."""
 
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -136,10 +136,10 @@
             ],
             Forwarder(self._session, self.router, self.decisions),
         )
+        app.middlewares.append(self._answer_problems)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
         self.rollout.add_routes(app)
         OperatorApi(self).add_routes(app)
-        app.middlewares.append(self._answer_problems)
 
     def _start_controllers(self) -> None:
         agent = self.agent
--- a/src/crankseam/operator_api.py
+++ b/src/crankseam/operator_api.py
@@ -2,17 +2,21 @@
 
 from __future__ import annotations
 
+from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING, Any
 
 import msgspec
 from aiohttp import web
 
 from crankseam.cluster.digest import MemberStatus
-from crankseam.errors import NotFound
+from crankseam.errors import Forbidden, NotFound
 
 if TYPE_CHECKING:
     from crankseam.node import Node
 
+OPERATOR_PREFIX = "/operator/"
+RequestHandler = Callable[[web.Request], Awaitable[web.StreamResponse]]
+
 
 class OperatorApi:
     """Read-only: operators change files, never single machines."""
@@ -22,12 +26,25 @@
 
     def add_routes(self, app: web.Application) -> None:
         """Register the paths."""
+        app.middlewares.append(self._require_operator)
         app.router.add_get("/healthz", self._healthz)
         app.router.add_get("/readyz", self._readyz)
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/operator/status", self._status)
         app.router.add_get("/operator/explain/{id:.+}", self._explain)
 
+    @web.middleware
+    async def _require_operator(
+        self, request: web.Request, handler: RequestHandler
+    ) -> web.StreamResponse:
+        """Where operators have keys, their paths are for callers that showed one."""
+        guarded = request.path.startswith(OPERATOR_PREFIX)
+        if guarded and self._node.settings.tls.operators_authority is not None:
+            transport = request.transport
+            if transport is None or not transport.get_extra_info("peercert"):
+                raise Forbidden("an operator's key is needed here")
+        return await handler(request)
+
     async def _healthz(self, _request: web.Request) -> web.Response:
         return web.Response(text="ok\n")
 
--- a/src/crankseam_experiments/hollow.py
+++ b/src/crankseam_experiments/hollow.py
@@ -10,6 +10,7 @@
 import argparse
 import asyncio
 import json
+import os
 import random
 import resource
 import sys
@@ -172,7 +173,7 @@
         self.nodes: dict[str, HollowNode] = {}
 
     async def run(self) -> None:
-        """Serve the control path until the process is ended."""
+        """Serve the control path until the experiment ends."""
         self._session = aiohttp.ClientSession()
         self._idle_memory = psutil.Process().memory_info().rss
         for raw in self._plan.nodes:
@@ -187,7 +188,9 @@
         runner = web.AppRunner(app, access_log=None)
         await runner.setup()
         await web.TCPSite(runner, "127.0.0.1", self._plan.control_port).start()
-        await asyncio.Event().wait()
+        parent = os.getppid()
+        while os.getppid() == parent:
+            await asyncio.sleep(1.0)  # ends with the experiment, also when that was killed
 
     async def _chosen(self, request: web.Request) -> list[HollowNode]:
         names = (await request.json())["names"]
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -1,5 +1,6 @@
 """Shared settings: Hypothesis runs the same examples each time."""
 
+import aiomisc  # noqa: F401 - looks at standard error when imported, before a test replaces it
 from hypothesis import HealthCheck, settings
 
 settings.register_profile(
