Queue samples by step and expected length; steps ahead as far as the bound allows

Cause: a step's samples were started in the trainer's order and only once the step before was whole, so that the samplers stood idle behind its tail. Change: one queue a pool on the driving node (earlier steps first, longest first within a step); a trainer opens steps ahead, states the version it will have when it trains on each, and samples of a later step start once the share idle_weight of the step before is all that is missing. The bound is checked against the stated version, which is stricter than the version at reading.

--- a/src/crankseam/config/kinds.py
+++ b/src/crankseam/config/kinds.py
@@ -68,6 +68,8 @@
     samplers: list[BackEnd] = Field(min_length=1)
     max_running_per_sampler: int = Field(default=64, ge=1)
     """Requests that crankseam keeps at one sampler at a time."""
+    routing: Literal["least_load", "round_robin"] = "least_load"
+    """How a sampler is chosen; `round_robin` is there to compare with."""
 
 
 class WeightPolicy(_Strict):
@@ -105,7 +107,13 @@
     staleness_bound: int = Field(ge=0)
     """How many versions behind the trainer's own the oldest token of a sample may be."""
     idle_weight: float = Field(default=0.5, ge=0.0, le=1.0)
-    """1 puts trainer idle time first, 0 staleness; see docs/operators/idle-and-staleness.md."""
+    """1 puts trainer idle time first, 0 staleness; see docs/operators/idle-and-staleness.md.
+
+    Samples of a later step are started once no more than this share of the step before is
+    missing, and never before the staleness bound allows it.
+    """
+    sample_order: Literal["longest_first", "as_given"] = "longest_first"
+    """Order within a step; lengths are estimated by prompt group."""
 
 
 Document = Service | SamplerPool | WeightPolicy | Limit | Trainer
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -62,6 +62,17 @@
         return self.trainer_version - self.trainer.staleness_bound
 
 
+def _version_rule(wanted: GenerationTarget) -> Callable[[Candidate], str | None]:
+    """Refuses samplers that serve a version older than what may make a token."""
+
+    def refuse(candidate: Candidate) -> str | None:
+        if 0 <= candidate.version < wanted.oldest_allowed:
+            return f"version {candidate.version} is older than {wanted.oldest_allowed}"
+        return None
+
+    return refuse
+
+
 class SampleGenerator:
     """Generates samples on the samplers of a pool."""
 
@@ -108,18 +119,26 @@
                     decision_id=decision.decision_id,
                 )
 
+    def has_eligible(self, wanted: GenerationTarget) -> bool:
+        """Whether any sampler could take a sample now, were it not full."""
+        pool = wanted.pool
+        choice = self._router.choose(pool.name, pool.samplers, _version_rule(wanted))
+        return choice.back_end is not None
+
     def _choose(self, step: int, request: SampleRequest, wanted: GenerationTarget) -> Decision:
         pool = wanted.pool
+        version_rule = _version_rule(wanted)
 
         def eligible(candidate: Candidate) -> str | None:
             in_flight = self._router.view(f"{pool.name}/{candidate.name}").in_flight
             if in_flight >= pool.max_running_per_sampler:
                 return f"full: {in_flight} running"
-            if 0 <= candidate.version < wanted.oldest_allowed:
-                return f"version {candidate.version} is older than {wanted.oldest_allowed}"
-            return None
+            return version_rule(candidate)
 
-        choice = self._router.choose(pool.name, pool.samplers, eligible)
+        if pool.routing == "round_robin":
+            choice = self._router.take_turns(pool.name, pool.samplers, eligible)
+        else:
+            choice = self._router.choose(pool.name, pool.samplers, eligible)
         subject = f"{wanted.trainer.name}/{step}/{request.index}"
         decision = Decision(
             decision_id=self._decisions.new_id(),
--- a/src/crankseam/rollout/messages.py
+++ b/src/crankseam/rollout/messages.py
@@ -11,12 +11,14 @@
     Attributes:
         index: position in the step, from 0.
         group: samples of one prompt group tend to be of like length.
+        expected_tokens: the trainer's own estimate of the length; 0 if it has none.
     """
 
     index: int
     prompt: str
     group: str = ""
     max_tokens: int = 1024
+    expected_tokens: int = 0
 
 
 class OpenStep(msgspec.Struct, forbid_unknown_fields=True):
--- a/src/crankseam/rollout/service.py
+++ b/src/crankseam/rollout/service.py
@@ -16,6 +16,7 @@
 from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import Acknowledge, OpenStep
 from crankseam.rollout.sample_records import STEP_RETENTION_MILLISECONDS, SampleRecords
+from crankseam.rollout.scheduler import PoolScheduler
 from crankseam.rollout.step_run import StepRun
 
 log = logging.getLogger(__name__)
@@ -34,6 +35,7 @@
         self._generator = generator
         self._lengths = LengthEstimator()
         self._runs: dict[tuple[str, int], StepRun] = {}
+        self._schedulers: dict[str, PoolScheduler] = {}
         self.streams = 0
         self.draining = False
 
@@ -82,7 +84,8 @@
     def _read_version(request: web.Request) -> int:
         raw = request.query.get("version", "")
         if not raw.isdecimal():
-            raise BadRequest("version: the trainer's own weight version", OUTCOME_NOT_RUN)
+            detail = "version: the weight version the trainer will have when it trains on the step"
+            raise BadRequest(detail, OUTCOME_NOT_RUN)
         return int(raw)
 
     @staticmethod
@@ -111,7 +114,9 @@
             records,
             self._generator,
             self._lengths,
+            self._scheduler(trainer.pool),
             lambda trainer_version: self._target(trainer.name, trainer_version),
+            lambda: self._may_begin(trainer.name, opening.step),
         )
         self._runs[trainer.name, opening.step] = run
         try:
@@ -122,6 +127,25 @@
             raise Unavailable(f"step not recorded: {error}", OUTCOME_UNKNOWN, RETRY_SECONDS)
         return run
 
+    def _scheduler(self, pool_name: str) -> PoolScheduler:
+        def capacity() -> int:
+            pool = self._agent.lease.snapshot.pools[pool_name]
+            return len(pool.samplers) * pool.max_running_per_sampler
+
+        if pool_name not in self._schedulers:
+            self._schedulers[pool_name] = PoolScheduler(capacity)
+        return self._schedulers[pool_name]
+
+    def _may_begin(self, trainer_name: str, step: int) -> bool:
+        """Whether no more is missing of the steps before than the trainer's weighing allows."""
+        trainer = self._agent.lease.snapshot.trainers[trainer_name]
+        for (name, earlier), run in self._runs.items():
+            if name != trainer_name or earlier >= step or run.superseded:
+                continue
+            if run.remaining() > trainer.idle_weight * len(run.opening.samples):
+                return False
+        return True
+
     def _target(self, trainer_name: str, trainer_version: int) -> GenerationTarget:
         snapshot = self._agent.lease.snapshot
         trainer = snapshot.trainers[trainer_name]
--- a/src/crankseam/rollout/step_run.py
+++ b/src/crankseam/rollout/step_run.py
@@ -21,11 +21,13 @@
     oldest_version,
 )
 from crankseam.rollout.sample_records import SampleRecords
+from crankseam.rollout.scheduler import PoolScheduler
 from crankseam.tasks import TaskGroupOwner
 
 log = logging.getLogger(__name__)
 
 DRIVER_CHECK_SECONDS = 1.0
+BEGIN_POLL_SECONDS = 0.02
 READ_CONCURRENCY = 64
 COMMIT_BACKOFF_BASE = 0.05
 COMMIT_BACKOFF_CAP = 1.0
@@ -36,8 +38,10 @@
 
     Args:
         opening: what the trainer asked for.
-        target: trainer, pool and versions as they stand now; its trainer_version is filled in
-            from what the trainer last reported here.
+        scheduler: the queue before the pool's samplers, shared by all steps on this node.
+        target: trainer, pool and versions as they stand now, for the version that the trainer
+            will have when it trains on this step.
+        may_begin: whether the steps before this one are far enough.
     """
 
     def __init__(
@@ -46,7 +50,9 @@
         records: SampleRecords,
         generator: SampleGenerator,
         lengths: LengthEstimator,
+        scheduler: PoolScheduler,
         target: Callable[[int], GenerationTarget],
+        may_begin: Callable[[], bool],
     ) -> None:
         self.opening = opening
         self.trainer_version = 0
@@ -54,14 +60,15 @@
         self._records = records
         self._generator = generator
         self._lengths = lengths
+        self._scheduler = scheduler
         self._target = target
+        self._may_begin = may_begin
         self._requests = {sample.index: sample for sample in opening.samples}
         self._generations: dict[int, int] = {}
         self._committed: dict[int, SampleResult] = {}
         self._acknowledged: set[int] = set()
         self._generating: set[int] = set()
         self._changed = asyncio.Condition()
-        self._slots: asyncio.Semaphore
         self._tasks = TaskGroupOwner()
         self.dropped_stale = 0
 
@@ -75,17 +82,20 @@
         step = await self._records.become_driver()
         if step.term > 1:
             await self._read_committed()
-        pool = self._target(trainer_version).pool
-        self._slots = asyncio.Semaphore(len(pool.samplers) * pool.max_running_per_sampler)
-        missing = [
-            self._requests[index]
-            for index in self._requests
-            if index not in self._acknowledged and index not in self._committed
-        ]
-        for request in self._lengths.longest_first(missing):
-            self._start_sample(request)
+        self._tasks.start(self._begin(), "step begin")
         self._tasks.start(self._watch_driver(), "step driver")
 
+    async def _begin(self) -> None:
+        """Start the samples once steps before this one and the staleness bound allow it."""
+        while True:
+            target = self._target(self.trainer_version)
+            if self._may_begin() and self._generator.has_eligible(target):
+                break
+            await asyncio.sleep(BEGIN_POLL_SECONDS)
+        for index in self._requests:
+            if index not in self._acknowledged and index not in self._committed:
+                self._start_sample(self._requests[index])
+
     async def stop(self) -> None:
         """Stop generating; what is committed stays."""
         await self._tasks.stop()
@@ -130,19 +140,26 @@
 
     async def _make_sample(self, request: SampleRequest) -> None:
         try:
-            async with self._slots:
+            async with self._scheduler.place(self._order(request)):
                 result = await self._generator.generate(
                     self.opening.step,
                     request,
                     self._generations.get(request.index, 0),
                     lambda: self._target(self.trainer_version),
-                    lambda: self._lengths.priority(request, self.remaining()),
+                    lambda: self.opening.step,
                 )
             self._lengths.learn(request.group, len(result.tokens))
             await self._commit(result)
         finally:
             self._generating.discard(request.index)
 
+    def _order(self, request: SampleRequest) -> tuple[float, ...]:
+        """Place in the queue: earlier steps first, then as the trainer's configuration says."""
+        trainer = self._target(self.trainer_version).trainer
+        if trainer.sample_order == "as_given":
+            return (self.opening.step, request.index)
+        return (self.opening.step, -self._lengths.estimate(request))
+
     async def _commit(self, result: SampleResult) -> None:
         backoff = Backoff(COMMIT_BACKOFF_BASE, COMMIT_BACKOFF_CAP)
         while True:
--- a/src/crankseam/routing.py
+++ b/src/crankseam/routing.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import itertools
 import random
 import time
 from collections import deque
@@ -55,6 +56,8 @@
         self._random = generator
         self._clock = clock
         self._views: dict[str, LocalView] = {}
+        self._turns: dict[str, int] = {}
+        self._turn = itertools.count(1)
         self.leaving_machines: set[str] = set()
         """host of each machine that the machine list calls leaving or gone."""
 
@@ -106,6 +109,22 @@
         chosen = self._random.choice(near or tied)
         return Choice(by_name[chosen.name], candidates)
 
+    def take_turns(
+        self,
+        group: str,
+        back_ends: Iterable[BackEnd],
+        eligible: Callable[[Candidate], str | None],
+    ) -> Choice:
+        """Choose the eligible one that had its last request the longest ago."""
+        choice = self.choose(group, back_ends, eligible)
+        accepted = [c.name for c in choice.candidates if c.refused is None]
+        if not accepted:
+            return choice
+        by_name = {back_end.name: back_end for back_end in back_ends}
+        chosen = min(accepted, key=lambda name: self._turns.get(f"{group}/{name}", 0))
+        self._turns[f"{group}/{chosen}"] = next(self._turn)
+        return Choice(by_name[chosen], choice.candidates)
+
     def _consider(self, group: str, back_end: BackEnd) -> Candidate:
         target = f"{group}/{back_end.name}"
         view = self.view(target)
--- a/src/crankseam_experiments/fleet.py
+++ b/src/crankseam_experiments/fleet.py
@@ -85,6 +85,8 @@
             str(samplers.median_length),
             "--max-running",
             str(samplers.max_running),
+            "--chunk-tokens",
+            str(samplers.chunk_tokens),
         ]
         for document in self.documents:
             if isinstance(document, WeightPolicy):
--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -83,6 +83,9 @@
             max_tokens=load.max_tokens,
             train_seconds=load.train_seconds,
             seed=self.seed,
+            open_ahead=load.open_ahead,
+            hints=load.hints,
+            median_length=self.spec.samplers.median_length,
         )
 
     def plan_clients(self) -> None:
--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -29,6 +29,7 @@
     time_scale: float = Field(default=1.0, gt=0)
     median_length: int = Field(default=200, ge=1)
     max_running: int = Field(default=64, ge=1)
+    chunk_tokens: int = Field(default=8, ge=1)
 
 
 class TrainerLoad(_Concern):
@@ -40,6 +41,8 @@
     samples_per_group: int = Field(ge=1)
     max_tokens: int = Field(ge=1)
     train_seconds: float = Field(ge=0)
+    open_ahead: int = Field(default=2, ge=1)
+    hints: bool = False
 
 
 class CallerLoad(_Concern):
--- a/src/crankseam_standins/main.py
+++ b/src/crankseam_standins/main.py
@@ -39,6 +39,7 @@
         server.add_argument("--version", type=int, default=1)
         server.add_argument("--median-length", type=int, default=200)
         server.add_argument("--max-running", type=int, default=64)
+        server.add_argument("--chunk-tokens", type=int, default=8)
     for kind in ("trainer", "caller"):
         client = kinds.add_parser(kind)
         client.add_argument("--plan", required=True, help="the plan as JSON")
@@ -60,6 +61,7 @@
         time_scale=arguments.time_scale,
         median_length=arguments.median_length,
         max_running=arguments.max_running,
+        chunk_tokens=arguments.chunk_tokens,
     )
     return SamplerStandin(arguments.name, parameters, arguments.version, account).application()
 
--- a/src/crankseam_standins/trainer.py
+++ b/src/crankseam_standins/trainer.py
@@ -1,6 +1,7 @@
 """Stand-in of a trainer: opens steps, reads their samples, trains, publishes weights.
 
-It trains on step k while step k+1 is generated. What it received it writes to a journal before it
+It trains on step k while the steps after it are generated, and states for each step the version it
+will have when it trains on it. What it received it writes to a journal before it
 counts it as received; after a crash the journal is its truth.
 """
 
@@ -18,7 +19,10 @@
 from crankseam.rollout.cursor import format_cursor
 from crankseam.rollout.messages import OpenStep, SampleRequest, SampleResult
 from crankseam_standins.account import Account, read_account
+from crankseam_standins.sampler import sample_length
+from crankseam_standins.sampler_parameters import SamplerParameters
 
+FIRST_VERSION = 1
 RETRY_SECONDS = 0.2
 STREAM_SILENCE_SECONDS = 30.0
 
@@ -37,6 +41,12 @@
     max_tokens: int
     train_seconds: float
     seed: int = 0
+    open_ahead: int = 2
+    """Steps that are asked for at a time: the one that is needed next, and those after it."""
+    hints: bool = False
+    """Whether to tell each sample's exact length beforehand, as only an oracle could."""
+    median_length: int = 200
+    """The samplers' parameter, needed for hints."""
 
 
 @dataclass
@@ -48,6 +58,8 @@
     step_seconds: list[float] = field(default_factory=list)
     received: int = 0
     reconnects: int = 0
+    staleness: list[int] = field(default_factory=list)
+    """For each sample, versions between its oldest token and the trainer when it trained on it."""
 
 
 class TrainerStandin:
@@ -62,7 +74,9 @@
         self._received: dict[int, set[int]] = {}
         self._opened_at: dict[int, int] = {}
         self._first_step = 0
-        self.version = 1
+        self.version = FIRST_VERSION
+        self._collecting: dict[int, asyncio.Task[None]] = {}
+        self._oldest: dict[int, list[int]] = {}
         self.report = TrainerReport()
 
     def _restore(self) -> None:
@@ -82,32 +96,36 @@
         self._restore()
         async with aiohttp.ClientSession() as self._session:
             await self._publish()
-            pending = asyncio.create_task(self._collect(self._first_step))
             for step in range(self._first_step, self._plan.steps):
+                self._collect_ahead(step)
                 waited_from = time.monotonic()
-                await pending
+                await self._collecting.pop(step)
                 self.report.idle += time.monotonic() - waited_from
-                if step + 1 < self._plan.steps:
-                    pending = asyncio.create_task(self._collect(step + 1))
-                    # One turn, so that the next step is opened before training begins.
-                    await asyncio.sleep(0)
+                self._collect_ahead(step + 1)
+                # One turn, so that the steps ahead are asked for before training begins.
+                await asyncio.sleep(0)
                 await self._train(step)
         self._journal.close()
         return self.report
 
+    def _collect_ahead(self, step: int) -> None:
+        """Ask for this step and those after it, as far ahead as the plan says."""
+        last = min(step + self._plan.open_ahead, self._plan.steps)
+        for number in range(step, last):
+            if number not in self._collecting:
+                self._collecting[number] = asyncio.create_task(self._collect(number))
+
+    def version_for(self, step: int) -> int:
+        """The version that the trainer has when it trains on a step: the bound is held to it."""
+        return FIRST_VERSION + step
+
     async def _train(self, step: int) -> None:
+        oldest = self._oldest.pop(step, [])
+        self.report.staleness += [self.version - version for version in oldest]
         await asyncio.sleep(self._plan.train_seconds)
         self.report.training += self._plan.train_seconds
         self._journal.append({"event": "trained", "step": step})
-        await self._advance_version()
-
-    async def _advance_version(self) -> None:
-        """Raise the version. A stream that is being read was opened under the old one, so it is
-        ended first: the version stated to crankseam holds for as long as a stream is read."""
-        if self._reading is not None:
-            self._reading.cancel()
-            await asyncio.gather(self._reading, return_exceptions=True)
-        self.version += 1
+        self.version = self.version_for(step + 1)
         self._journal.append({"event": "version", "version": self.version})
         await self._publish()
 
@@ -124,8 +142,6 @@
 
     # --- one step
 
-    _reading: asyncio.Task[bool] | None = None
-
     def samples(self, step: int) -> list[SampleRequest]:
         """The samples of a step; the same for the same plan."""
         samples: list[SampleRequest] = []
@@ -136,10 +152,18 @@
                 shared = " ".join(f"{group_name}w{word}" for word in range(32))
                 prompt = f"{group_name}|{shared} step {step} member {member}"
                 samples.append(
-                    SampleRequest(len(samples), prompt, group_name, self._plan.max_tokens)
+                    SampleRequest(
+                        len(samples), prompt, group_name, self._plan.max_tokens, self._hint(prompt)
+                    )
                 )
         return samples
 
+    def _hint(self, prompt: str) -> int:
+        if not self._plan.hints:
+            return 0
+        parameters = SamplerParameters(median_length=self._plan.median_length)
+        return sample_length(parameters, prompt, self._plan.max_tokens)
+
     async def _collect(self, step: int) -> None:
         """Open the step and read until it is whole, through whatever node answers."""
         started = time.monotonic()
@@ -156,26 +180,22 @@
             )
         received = self._received.setdefault(step, set())
         while len(received) < len(samples):
-            self._reading = asyncio.create_task(self._read_once(step, samples, received))
-            try:
-                came_through = await self._reading
-            except asyncio.CancelledError:
-                task = asyncio.current_task()
-                if task is not None and task.cancelling():
-                    raise
-                continue  # the version moved on: open the stream again under the new one
+            node = self._node
+            came_through = await self._read_once(node, step, samples, received)
             if not came_through and len(received) < len(samples):
                 self.report.reconnects += 1
-                self._node = next(self._nodes)
+                if node == self._node:
+                    self._node = next(self._nodes)
                 await asyncio.sleep(RETRY_SECONDS)
-        self._reading = None
         await self._acknowledge(step, received)
         self.report.step_seconds.append(time.monotonic() - started)
 
-    async def _read_once(self, step: int, samples: list[SampleRequest], received: set[int]) -> bool:
+    async def _read_once(
+        self, node: str, step: int, samples: list[SampleRequest], received: set[int]
+    ) -> bool:
         """Open and read through one node; False when it broke off."""
-        version = self.version
-        base = f"http://{self._node}/trainers/{self._plan.name}/steps"
+        version = self.version_for(step)
+        base = f"http://{node}/trainers/{self._plan.name}/steps"
         query = {"version": str(version), "after": format_cursor(received)}
         opening = OpenStep(step, self._opened_at[step], samples)
         timeout = aiohttp.ClientTimeout(total=None, sock_read=STREAM_SILENCE_SECONDS)
@@ -210,6 +230,7 @@
         )
         received.add(result.index)
         self.report.received += 1
+        self._oldest.setdefault(step, []).append(min(s.version for s in result.segments))
 
     async def _acknowledge(self, step: int, received: set[int]) -> None:
         url = f"http://{self._node}/trainers/{self._plan.name}/steps/{step}/ack"
