--- /dev/null
+++ b/src/crankseam_experiments/comparison.py
@@ -0,0 +1,118 @@
+"""Runs one load under several policies, paired by seed, and compares them."""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from pathlib import Path
+from typing import Any
+
+from crankseam_experiments.plots import write_comparison_report
+from crankseam_experiments.runner import run_processes
+from crankseam_experiments.spec import Experiment, Policy
+
+BASELINE = "least_load"
+ORACLE = "oracle"
+SYSTEM = "crankseam"
+
+
+async def run_comparison(
+    spec: Experiment, folder: Path, first_seed: int, out: Path
+) -> dict[str, Any]:
+    """Run every policy with every seed; writes the page with plots beside the report."""
+    runs: dict[str, list[dict[str, Any]]] = {policy.name: [] for policy in spec.policies}
+    for seed in range(first_seed, first_seed + spec.seeds):
+        for policy in spec.policies:
+            report = await _run_one(spec, folder, seed, out, policy)
+            runs[policy.name].append(report)
+            idle = report["trainer_idle_fraction"]
+            print(f"seed {seed} {policy.name}: idle {idle}", file=sys.stderr, flush=True)
+    policies = {name: _summarise_policy(reports) for name, reports in runs.items()}
+    report = {
+        "name": spec.name,
+        "time_scale": spec.samplers.time_scale,
+        "seeds": list(range(first_seed, first_seed + spec.seeds)),
+        "policies": policies,
+        "paired": _pair(runs),
+        "promises": _sum_promises(runs),
+        "summary": {
+            name: {
+                "idle": policy["trainer_idle_fraction"]["median"],
+                "staleness": policy["staleness_versions"],
+            }
+            for name, policy in policies.items()
+        },
+        "passed": all(item["passed"] for reports in runs.values() for item in reports),
+    }
+    write_comparison_report(report, runs, out)
+    return report
+
+
+async def _run_one(
+    spec: Experiment, folder: Path, seed: int, out: Path, policy: Policy
+) -> dict[str, Any]:
+    run_out = out / f"{policy.name}-{seed}"
+    run_out.mkdir(parents=True, exist_ok=True)
+    if policy.hints and spec.trainer is not None:
+        trainer = spec.trainer.model_copy(update={"hints": True})
+        spec = spec.model_copy(update={"trainer": trainer})
+    return await run_processes(spec, folder, seed, run_out, policy=policy)
+
+
+def _spread(values: list[float]) -> dict[str, float]:
+    return {
+        "median": round(statistics.median(values), 4),
+        "min": round(min(values), 4),
+        "max": round(max(values), 4),
+    }
+
+
+def _summarise_policy(reports: list[dict[str, Any]]) -> dict[str, Any]:
+    return {
+        "trainer_idle_fraction": _spread([r["trainer_idle_fraction"] or 0.0 for r in reports]),
+        "step_seconds_p50": _spread([r["step_seconds"]["p50"] for r in reports]),
+        "step_seconds_p99": _spread([r["step_seconds"]["p99"] for r in reports]),
+        "staleness_versions": {
+            name: max(r["staleness_versions"][name] for r in reports)
+            for name in ("p50", "p99", "max")
+        },
+        "staleness_seconds": {
+            name: round(max(r["staleness_seconds"][name] for r in reports), 2)
+            for name in ("p50", "p99", "max")
+        },
+        "app_latency_ms_p50": _spread([r["app_latency_ms"]["p50"] for r in reports]),
+        "app_latency_ms_p99": _spread([r["app_latency_ms"]["p99"] for r in reports]),
+        "busy_fraction": _spread([_busy_fraction(r) for r in reports]),
+    }
+
+
+def _busy_fraction(report: dict[str, Any]) -> float:
+    """Share of the samplers' time in which they generated, at whatever batch size."""
+    totals = report["tokens"].values()
+    seconds = sum(item["seconds"] for item in totals) * report["time_scale"]
+    return sum(item["busy_seconds"] for item in totals) / seconds if seconds else 0.0
+
+
+def _pair(runs: dict[str, list[dict[str, Any]]]) -> dict[str, dict[str, float]]:
+    """Idle of the system against baseline and oracle, seed by seed."""
+    paired = {}
+    for other in (BASELINE, ORACLE):
+        if SYSTEM in runs and other in runs:
+            ratios = [
+                (own["trainer_idle_fraction"] or 0.0) / max(1e-9, its["trainer_idle_fraction"])
+                for own, its in zip(runs[SYSTEM], runs[other], strict=True)
+            ]
+            paired[f"{SYSTEM}/{other}"] = _spread(ratios)
+    return paired
+
+
+def _sum_promises(runs: dict[str, list[dict[str, Any]]]) -> list[dict[str, Any]]:
+    totals: dict[str, dict[str, Any]] = {}
+    for report in (item for reports in runs.values() for item in reports):
+        for promise in report["promises"]:
+            total = totals.setdefault(
+                promise["name"], {"name": promise["name"], "checks": 0, "violations": 0}
+            )
+            total["checks"] += promise["checks"]
+            total["violations"] += promise["violations"]
+    return list(totals.values())
--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -16,13 +16,13 @@
 
 from crankseam.clients.key_value import KeyValueClient
 from crankseam.config.changes import apply_plan, make_plan
-from crankseam.config.kinds import SamplerPool, Service, Trainer, WeightPolicy
+from crankseam.config.kinds import Document, SamplerPool, Service, Trainer, WeightPolicy
 from crankseam.errors import CrankseamError
 from crankseam_experiments.auditor import Evidence, Finding, RevisionSample, audit
 from crankseam_experiments.fault_injection import FaultInjector
 from crankseam_experiments.fleet import Fleet
 from crankseam_experiments.processes import ManagedProcess, standin_command
-from crankseam_experiments.spec import Experiment
+from crankseam_experiments.spec import Experiment, Policy
 from crankseam_experiments.weakened_node import WEAKENINGS
 from crankseam_standins.account import read_account
 from crankseam_standins.trainer import TrainerPlan, TrainerStandin
@@ -49,6 +49,7 @@
         self.control: dict[str, dict[str, float]] = {}
         self.injected: dict[str, int] = {}
         self.recovery_seconds: list[float] = []
+        self.sampler_totals: dict[str, dict[str, float]] = {}
         self.clients_done: dict[str, bool] = {}
 
     # --- load
@@ -162,6 +163,19 @@
         sample = RevisionSample(time.time(), name, status["ready"], status["revision"])
         self.evidence.revisions.append(sample)
 
+    async def measure_samplers(self) -> None:
+        """Tokens made, and busy time, of each sampler; emulated seconds."""
+        pool = self.document(SamplerPool)
+        for sampler in pool.samplers:
+            try:
+                async with self.fleet.session.get(f"http://{sampler.address}/_account") as answer:
+                    account = await answer.json()
+            except (aiohttp.ClientError, TimeoutError):
+                continue
+            self.sampler_totals[sampler.name] = {
+                name: account[name] for name in ("tokens", "busy_seconds", "seconds")
+            }
+
     async def measure_control(self) -> None:
         """Processor time and peer traffic of each node since it started."""
         wanted = ("cpu_seconds", "peer_bytes_sent", "key_value_requests", "slot_moves")
@@ -217,6 +231,32 @@
     return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
 
 
+def _spread(values: list[float]) -> dict[str, float]:
+    return {
+        "p50": _percentile(values, 0.5),
+        "p99": _percentile(values, 0.99),
+        "max": max(values, default=0.0),
+    }
+
+
+def _staleness_seconds(evidence: Evidence) -> list[float]:
+    """For each sample: when it was trained on, less when its oldest version was replaced."""
+    replaced_at = {
+        entry["version"] - 1: entry["at"]
+        for entry in evidence.trainer
+        if entry["event"] == "version"
+    }
+    trained_at = {e["step"]: e["at"] for e in evidence.trainer if e["event"] == "trained"}
+    seconds = []
+    for entry in evidence.trainer:
+        if entry["event"] != "sample" or entry["step"] not in trained_at:
+            continue
+        oldest = min(segment[0] for segment in entry["segments"])
+        at = trained_at[entry["step"]]
+        seconds.append(max(0.0, at - replaced_at.get(oldest, at)))
+    return seconds
+
+
 def _summarise(run: ExperimentRun, findings: list[Finding], evidence: Evidence) -> dict[str, Any]:
     told = [e for e in evidence.callers if e["event"] == "final"]
     samples = [(e["step"], e["index"]) for e in evidence.trainer if e["event"] == "sample"]
@@ -246,6 +286,7 @@
     return {
         "name": run.spec.name,
         "seed": run.seed,
+        "time_scale": run.spec.samplers.time_scale,
         "summary": summary,
         "promises": [dataclasses.asdict(finding) for finding in findings],
         "faults": run.injected,
@@ -260,6 +301,9 @@
             "p99": _percentile(latencies, 0.99) * 1000,
         },
         "trainer_idle_fraction": trainer.get("idle", 0.0) / total if total else None,
+        "staleness_versions": _spread(trainer.get("staleness", [])),
+        "staleness_seconds": _spread(_staleness_seconds(evidence)),
+        "tokens": run.sampler_totals,
         "step_seconds": {
             "p50": _percentile(trainer.get("step_seconds", []), 0.5),
             "p99": _percentile(trainer.get("step_seconds", []), 0.99),
@@ -288,6 +332,18 @@
     return spec.model_copy(update={"faults": faults})
 
 
+def with_policy(document: Document, policy: Policy) -> Document:
+    """The document with a policy's overrides."""
+    if isinstance(document, Trainer):
+        update: dict[str, Any] = {"sample_order": policy.sample_order}
+        if policy.idle_weight is not None:
+            update["idle_weight"] = policy.idle_weight
+        return document.model_copy(update=update)
+    if isinstance(document, SamplerPool):
+        return document.model_copy(update={"routing": policy.routing})
+    return document
+
+
 def judge_control(report: dict[str, Any], promise: str) -> None:
     """A control run passes if the auditor found the promise violated."""
     found = next(item for item in report["promises"] if item["name"] == promise)
@@ -298,18 +354,26 @@
 
 
 async def run_processes(
-    spec: Experiment, folder: Path, seed: int, out: Path, weakened: str | None = None
+    spec: Experiment,
+    folder: Path,
+    seed: int,
+    out: Path,
+    weakened: str | None = None,
+    policy: Policy | None = None,
 ) -> dict[str, Any]:
     """Run the experiment to its end and return its report.
 
     Args:
         weakened: a promise whose mechanism is switched off on every node.
+        policy: overrides of the configuration, for comparisons.
     """
     if weakened is not None:
         spec = weaken_experiment(spec, weakened)
     for old in out.glob("*.account.jsonl"):
         old.unlink()
     run = ExperimentRun(spec, folder, seed, out, weakened)
+    if policy is not None:
+        run.fleet.documents = [with_policy(item, policy) for item in run.fleet.documents]
     codes: dict[str, int] = {}
     try:
         await run.fleet.start()
@@ -318,6 +382,7 @@
         print("fleet is ready", file=sys.stderr)
         await run.run_load()
         await run.measure_control()
+        await run.measure_samplers()
         codes = await run.fleet.stop()
     except (CrankseamError, TimeoutError) as error:
         print(f"run failed: {type(error).__name__}: {error}", file=sys.stderr)
--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -96,6 +96,18 @@
     node that carries changes may itself have to be declared dead first."""
 
 
+class Policy(_Concern):
+    """One way of running the same load, compared with others by seed."""
+
+    name: str
+    idle_weight: float | None = None
+    """Overrides the trainer's; None keeps the configured one."""
+    sample_order: Literal["longest_first", "as_given"] = "longest_first"
+    routing: Literal["least_load", "round_robin"] = "least_load"
+    hints: bool = False
+    """Whether the trainer tells each sample's exact length: the oracle."""
+
+
 class Experiment(_Concern):
     """One experiment with separate processes."""
 
@@ -115,7 +127,10 @@
     faults: FaultPlan | None = None
     timing: dict[str, str] = {}
     """Overrides of the nodes' timing settings."""
-    policies: list[dict[str, str]] = []
+    policies: list[Policy] = []
+    """Compared in one run, paired by seed; empty runs the configuration as it is."""
+    seeds: int = Field(default=1, ge=1)
+    """How many seeds a comparison runs, from the one given on."""
 
 
 class ScaleExperiment(_Concern):
--- a/src/crankseam_experiments/verb.py
+++ b/src/crankseam_experiments/verb.py
@@ -12,6 +12,7 @@
 from pathlib import Path
 
 from crankseam.cli import exit_codes
+from crankseam_experiments.comparison import run_comparison
 from crankseam_experiments.runner import run_processes
 from crankseam_experiments.scale import run_scale
 from crankseam_experiments.spec import ScaleExperiment, load_experiment
@@ -39,6 +40,9 @@
     out = arguments.out.resolve()
     if isinstance(spec, ScaleExperiment):
         report = asyncio.run(run_scale(spec, arguments.seed, out))
+    elif spec.policies:
+        folder = arguments.file.resolve().parent
+        report = asyncio.run(run_comparison(spec, folder, arguments.seed, out))
     else:
         folder = arguments.file.resolve().parent
         report = asyncio.run(run_processes(spec, folder, arguments.seed, out, arguments.weaken))
--- a/src/crankseam_standins/trainer.py
+++ b/src/crankseam_standins/trainer.py
@@ -124,9 +124,9 @@
         self.report.staleness += [self.version - version for version in oldest]
         await asyncio.sleep(self._plan.train_seconds)
         self.report.training += self._plan.train_seconds
-        self._journal.append({"event": "trained", "step": step})
+        self._journal.append({"event": "trained", "step": step, "at": time.time()})
         self.version = self.version_for(step + 1)
-        self._journal.append({"event": "version", "version": self.version})
+        self._journal.append({"event": "version", "version": self.version, "at": time.time()})
         await self._publish()
 
     async def _publish(self) -> None:
