Detect deaths from how long ago each relay heard a member

Cause: at 420 hollow nodes a death was known after 5.7 s (p50) and 6.8 s (p99); the users ask for 5. A relay's hearsay (names heard in 1.5 s) counted as heard now, which added up to 2.5 s, and silence was looked at once a heartbeat. Ruled out: spreading (a change of configuration is everywhere in 1.6 s p99). Change: relays pass on milliseconds since they heard each member themselves; silence is judged 4 times a heartbeat; dead_after 4 s to 3 s.

--- a/src/crankseam/cluster/liveness.py
+++ b/src/crankseam/cluster/liveness.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 
 class LivenessJudge:
@@ -37,19 +37,26 @@
             self._heard_at[name] = now
             self._heard_here_at[name] = now
 
-    def hear_from_relay(self, names: Iterable[str]) -> None:
-        """Note that another relay of the zone heard these members itself."""
+    def hear_from_relay(self, silences: Mapping[str, int]) -> None:
+        """Take from another relay of the zone how long ago (milliseconds) it heard members."""
         now = self._clock()
-        for name in names:
-            self._heard_at[name] = now
+        for name, milliseconds in silences.items():
+            at = now - milliseconds / 1000
+            if at > self._heard_at.get(name, float("-inf")):
+                self._heard_at[name] = at
 
-    def heard_within(self, seconds: float) -> list[str]:
-        """Members that this relay itself heard in the last `seconds`.
+    def heard_here(self) -> dict[str, int]:
+        """How long ago (milliseconds) this relay itself heard each member it may judge.
 
         Hearsay is left out: two relays would keep a dead member alive by telling each other.
         """
-        since = self._clock() - seconds
-        return [name for name, at in self._heard_here_at.items() if at >= since]
+        now = self._clock()
+        since = now - self._dead_after
+        return {
+            name: round((now - at) * 1000)
+            for name, at in self._heard_here_at.items()
+            if at >= since
+        }
 
     def tick(self) -> None:
         """Must be called regularly; a late call reveals a pause of this process."""
--- a/src/crankseam/cluster/membership.py
+++ b/src/crankseam/cluster/membership.py
@@ -48,6 +48,7 @@
 NO_ENTRIES = -1
 MIN_NUDGE_INTERVAL = 0.25
 READINGS_PER_TERM = 5
+JUDGEMENTS_PER_HEARTBEAT = 4
 EXCHANGE_KEY = "exchange/"
 """Versions taken by exchange are kept apart: an exchange carries only the peer's own zone."""
 FREQUENT_SEED_BEATS = 5
@@ -131,9 +132,9 @@
     async def run(self) -> None:
         """Beat until cancelled."""
         self._agent.tasks.start(self._read_register_loop(), "register")
+        self._agent.tasks.start(self._judge_loop(), "judge")
         while True:
             started = time.monotonic()
-            self._judge.tick()
             await self._beat()
             if self.is_relay():
                 await self._relay_work()
@@ -301,7 +302,6 @@
         # The second relay takes the other zones' news from the first, its parent.
         zones = self._agent.digest.zones() if first else [self._settings.zone]
         await asyncio.gather(*(self._pull_from_zone(zone) for zone in zones))
-        self._declare_silent_members()
         if first:
             self._declare_silent_zones()
         else:
@@ -353,9 +353,18 @@
         entries = agent.digest.changes_since(since, zone, regional=same_region)
         if message.known_zones < len(agent.digest.zones()):
             entries.members += self._other_zone_relays()
-        heard = self._judge.heard_within(self._timing.heartbeat_interval * 1.5) if same_zone else []
+        heard = self._judge.heard_here() if same_zone else {}
         return ExchangeAnswer(agent.incarnation, entries, heard)
 
+    async def _judge_loop(self) -> None:
+        """Look for silence several times a heartbeat, so that a death is not noticed late."""
+        pause = self._timing.heartbeat_interval / JUDGEMENTS_PER_HEARTBEAT
+        while True:
+            await asyncio.sleep(pause)
+            self._judge.tick()
+            if self.is_relay():
+                self._declare_silent_members()
+
     def _declare_silent_members(self) -> None:
         digest = self._agent.digest
         watched = [
--- a/src/crankseam/controllers/weights.py
+++ b/src/crankseam/controllers/weights.py
@@ -32,7 +32,7 @@
 
 log = logging.getLogger(__name__)
 
-POLL_SECONDS = 0.5
+POLICY_POLL_SECONDS = 0.5
 COORDINATOR_CANDIDATES = 2
 LOAD_BACKOFF_BASE = 0.2
 LOAD_BACKOFF_CAP = 3.0
@@ -90,7 +90,7 @@
                     await self._duty.release()
                 if self._duty.is_held():
                     await self._reconcile_safely()
-                await asyncio.sleep(POLL_SECONDS)
+                await asyncio.sleep(self._agent.settings.timing.weights_poll)
         finally:
             if competing is not None:
                 competing.cancel()
@@ -291,7 +291,7 @@
             for name in wanted:
                 if name not in self._running:
                     self._start(name)
-            await asyncio.sleep(POLL_SECONDS)
+            await asyncio.sleep(POLICY_POLL_SECONDS)
 
     def _start(self, name: str) -> None:
         coordinator = WeightCoordinator(
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -234,8 +234,8 @@
 
     relay_incarnation: int
     entries: Entries
-    heard: list[str] = []
-    """Names of members the relay heard from lately (only to relays of its own zone)."""
+    heard: dict[str, int] = {}
+    """Milliseconds since the relay itself heard each member (only to relays of its own zone)."""
 
 
 class Nudge(Message, tag="n"):
--- a/src/crankseam/settings.py
+++ b/src/crankseam/settings.py
@@ -39,10 +39,12 @@
     """Periods and terms; tests shorten them. A sum that matters is noted beside the field."""
 
     heartbeat_interval: Duration = 1.0
-    suspect_after: Duration = 2.0
+    suspect_after: Duration = 1.5
     """Silence after which a member is no longer chosen for new duties."""
-    dead_after: Duration = 4.0
-    """Silence after which a member is declared dead; with one heartbeat it stays under 5 s."""
+    dead_after: Duration = 3.0
+    """Silence after which a member is declared dead; with spreading it stays under 5 s."""
+    weights_poll: Duration = 0.5
+    """How often a weight coordinator looks for new versions and at its samplers."""
     configuration_term: Duration = 2.5
     """How long a node may serve under a revision after a majority was known to hold it."""
     clock_margin: Duration = 0.1
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -145,7 +145,7 @@
         now[0] += 1.0
         for judge, other in ((first, second), (second, first)):
             judge.tick()
-            judge.hear_from_relay(other.heard_within(1.5))
+            judge.hear_from_relay(other.heard_here())
     assert first.silent(["a"]) == ["a"]
     assert second.silent(["a"]) == ["a"]
 
