Nodes with a data folder cache weights and remember peers

Cause: every sampler read each version from the rate-limited store; a node with a disk forgot its peers at a restart.

--- a/src/crankseam/clients/weight_store.py
+++ b/src/crankseam/clients/weight_store.py
@@ -7,6 +7,8 @@
 
 from crankseam.errors import CrankseamError
 
+READ_TIMEOUT_SECONDS = 120.0
+
 
 class WeightStoreError(CrankseamError):
     """The store gave no usable answer; try again later."""
@@ -35,6 +37,16 @@
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise WeightStoreError(type(error).__name__) from error
 
+    async def read(self, address: str, pool: str, version: int) -> bytes:
+        """A version's bytes. Raises WeightStoreError, also on the store's 429 and 503."""
+        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS, sock_connect=1.0)
+        try:
+            async with self._session.get(self.source(address, pool, version), timeout=timeout) as a:
+                a.raise_for_status()
+                return await a.read()
+        except (aiohttp.ClientError, TimeoutError) as error:
+            raise WeightStoreError(type(error).__name__) from error
+
     @staticmethod
     def source(address: str, pool: str, version: int) -> str:
         """URL from which a sampler loads a version."""
--- a/src/crankseam/cluster/agent.py
+++ b/src/crankseam/cluster/agent.py
@@ -12,6 +12,7 @@
 from crankseam.clients.machine_list import MachineListClient
 from crankseam.cluster.configuration_lease import ConfigurationLease
 from crankseam.cluster.digest import DigestTable, MemberStatus
+from crankseam.cluster.known_peers import KnownPeers
 from crankseam.cluster.membership import MembershipController
 from crankseam.config.snapshot import StoredSnapshot
 from crankseam.errors import PeerError, PeerUnreachable, RecordError
@@ -61,6 +62,7 @@
         self.machine_list = (
             MachineListClient(settings.machine_list) if settings.machine_list else None
         )
+        self.known_peers = KnownPeers(settings.data_folder)
         self.incarnation = 0
         self.own: Member
         self.transport: PeerTransport
@@ -93,6 +95,7 @@
             caller_address=caller_address,
             incarnation=self.incarnation,
             sequence=1,
+            caches_weights=self.settings.data_folder is not None,
         )
         self.digest.learn_member(self.own)
         self.digest.on_change(self._refute_death)
@@ -120,6 +123,7 @@
         if self.machine_list is not None:
             machines = await self.machine_list.fetch_or_empty()
             seeds += [m.peer_address for m in machines if m.peer_address not in seeds]
+        seeds += [address for address in self.known_peers.load() if address not in seeds]
         own = self.settings.advertise_peer
         return [seed for seed in seeds if seed != own]
 
--- a/src/crankseam/controllers/retention.py
+++ b/src/crankseam/controllers/retention.py
@@ -27,6 +27,8 @@
         retention = round(self._agent.settings.timing.record_retention * 1000)
         self._agent.replicas.forget_before(wall_milliseconds() - retention)
         self._agent.digest.purge(self._known_targets(), REPORT_RETENTION_SECONDS)
+        members = self._agent.digest.alive_in_region(self._agent.settings.region)
+        self._agent.known_peers.save([member.peer_address for member in members])
 
     def _known_targets(self) -> set[str]:
         snapshot = self._agent.lease.snapshot
--- a/src/crankseam/controllers/weights.py
+++ b/src/crankseam/controllers/weights.py
@@ -29,6 +29,7 @@
 from crankseam.errors import CrankseamError
 from crankseam.peers.messages import BackEndReport
 from crankseam.records.slots import ranked
+from crankseam.weights_cache import cache_source
 
 log = logging.getLogger(__name__)
 
@@ -162,12 +163,13 @@
         self, policy: WeightPolicy, pool: SamplerPool, version: int, states: dict[str, SamplerState]
     ) -> None:
         gate = asyncio.Semaphore(policy.staging_concurrency)
-        source = WeightStoreClient.source(policy.store, policy.pool, version)
         now = asyncio.get_running_loop().time()
 
         async def load(sampler: BackEnd) -> None:
             async with gate:
-                await self._load_one(policy, sampler, version, source)
+                await self._load_one(
+                    policy, sampler, version, self._source(policy, sampler, version)
+                )
 
         waiting = [
             sampler
@@ -178,6 +180,17 @@
         ]
         await asyncio.gather(*(load(sampler) for sampler in waiting))
 
+    def _source(self, policy: WeightPolicy, sampler: BackEnd, version: int) -> str:
+        """A caching node, of the sampler's zone if there is one; the store after a failed load."""
+        failed = self._progress_of(sampler.name, version).failed_loads
+        region = self._pool(policy).home_region
+        caching = [m for m in self._agent.digest.alive_in_region(region) if m.caches_weights]
+        if not caching or failed:
+            return WeightStoreClient.source(policy.store, policy.pool, version)
+        near = [member for member in caching if member.zone == sampler.zone]
+        chosen = ranked(f"weights-source/{sampler.name}", near or caching)[0]
+        return cache_source(chosen.caller_address, policy.pool, version)
+
     async def _load_one(
         self, policy: WeightPolicy, sampler: BackEnd, version: int, source: str
     ) -> None:
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -42,6 +42,7 @@
 from crankseam.routing import Router
 from crankseam.settings import NodeSettings
 from crankseam.tls import TlsKeys
+from crankseam.weights_cache import WeightsCache
 
 log = logging.getLogger(__name__)
 
@@ -140,6 +141,9 @@
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
         self.rollout.add_routes(app)
         OperatorApi(self).add_routes(app)
+        if self.settings.data_folder is not None:
+            cache = WeightsCache(self.settings.data_folder, self._session, agent.lease)
+            cache.add_routes(app)
 
     def _start_controllers(self) -> None:
         agent = self.agent
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -159,6 +159,8 @@
     """A `MemberStatus` value."""
     revision: int = 0
     """Configuration revision the node serves under."""
+    caches_weights: bool = False
+    """Whether the node has a data folder and serves weights from it."""
 
     @property
     def identity(self) -> str:
--- a/src/crankseam_standins/weight_store.py
+++ b/src/crankseam_standins/weight_store.py
@@ -16,6 +16,7 @@
     def __init__(self) -> None:
         self.faults = Faults()
         self._versions: dict[str, list[int]] = {}
+        self.reads = 0
 
     def application(self) -> web.Application:
         """The HTTP application."""
@@ -38,6 +39,7 @@
         return web.json_response({"versions": self._versions.get(request.match_info["pool"], [])})
 
     async def _read(self, request: web.Request) -> web.Response:
+        self.reads += 1
         versions = self._versions.get(request.match_info["pool"], [])
         if int(request.match_info["version"]) not in versions:
             return web.Response(status=404)
