Read sampler streams on many nodes

Cause: the node that drives a step read every token of it; at 1.2 M tokens/s and 5 trainers that is 240,000 tokens/s through one process. Ways weighed: hand whole samples to other nodes (then nobody holds the order and the count in flight); let other nodes only read streams (chosen: the driver keeps choosing and counting). Change: above 64 streams of its own the driver asks the node that reads fewest for it; an executor that dies costs what it had read. Test: streams survive the death of the node that reads them.

--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -37,6 +37,7 @@
 from crankseam.requests.forward import Forwarder, trace_first_byte
 from crankseam.requests.identify import ConfigurationFilter, DeadlineFilter, IdentifyFilter
 from crankseam.requests.limits import AdmissionFilter, ServiceLimitFilter
+from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.generation import SampleGenerator
 from crankseam.rollout.service import RolloutService
 from crankseam.routing import Router
@@ -114,15 +115,16 @@
 
     def _build(self, app: web.Application) -> None:
         agent = self.agent
-        generator = random.Random(agent.identity)
-        self.router = Router(agent.digest, self.settings.zone, generator)
+        self.router = Router(agent.digest, self.settings.zone, random.Random(agent.identity))
         self.decisions = DecisionLog(agent)
         self.limits = LimitShareController(agent)
         self.watch = BackEndWatchController(agent, self._session)
         self.placement = ReplicaPlacementController(agent)
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
         sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
-        self.rollout = RolloutService(agent, SampleGenerator(sampler, self.router, self.decisions))
+        self.executors = StreamExecutors(agent, sampler)
+        generator = SampleGenerator(self.executors, self.router, self.decisions)
+        self.rollout = RolloutService(agent, generator)
         claims = self.claims = RequestClaims(agent)
         # The way of an app request, first to last.
         self._chain = build_chain(
@@ -232,7 +234,12 @@
             await asyncio.sleep(DRAIN_POLL_SECONDS)
 
     def _is_drained(self) -> bool:
-        busy = self.admission.running or self.rollout.streams or self.claims.settling
+        busy = (
+            self.admission.running
+            or self.rollout.streams
+            or self.claims.settling
+            or self.executors.running_for_others
+        )
         return not busy and not self.placement.is_needed()
 
     async def close(self) -> None:
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -258,6 +258,37 @@
     content: bytes | None
 
 
+# --- sampler streams
+
+
+class RunCompletion(Message, tag="rc"):
+    """Read one completion from a sampler to its end, for the node that drives the step."""
+
+    address: str
+    request_id: str
+    prompt: str
+    max_tokens: int
+    prior_tokens: list[int]
+    priority: int
+
+
+class CompletionOutcome(Message, tag="RC"):
+    """What came of a stream: whole, broken off after some tokens, or refused."""
+
+    tokens: list[int]
+    segments: list[tuple[int, int, int]]
+    """(version, start, end) over [0, len(tokens))."""
+    finished: bool = False
+    refused: bool = False
+    broke: str = ""
+
+
+class CancelCompletion(Message, tag="cc"):
+    """The caller no longer wants a completion it asked for."""
+
+    request_id: str
+
+
 # --- decisions
 
 
@@ -301,6 +332,9 @@
     | Nudge
     | FetchSnapshot
     | SnapshotAnswer
+    | RunCompletion
+    | CompletionOutcome
+    | CancelCompletion
     | StoreDecisions
     | FetchDecision
     | DecisionAnswer
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -5,18 +5,14 @@
 import asyncio
 import logging
 from collections.abc import Callable
-from contextlib import aclosing
 from dataclasses import dataclass, field
 
 from crankseam.backoff import Backoff
-from crankseam.clients.sampler import (
-    CompletionRequest,
-    SamplerClient,
-    SamplerRefused,
-    SamplerStreamBroke,
-)
+from crankseam.clients.sampler import CompletionRequest
 from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
 from crankseam.decisions import Candidate, Decision, DecisionLog
+from crankseam.peers.messages import CompletionOutcome
+from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.messages import (
     SampleRequest,
     SampleResult,
@@ -40,6 +36,16 @@
     segments: list[Segment] = field(default_factory=list)
     samplers: list[str] = field(default_factory=list)
 
+    def add(self, sampler: str, outcome: CompletionOutcome) -> None:
+        """Take the tokens of one more stream, which went on from what is here."""
+        self.samplers.append(sampler)
+        for version, start, end in outcome.segments:
+            if end > start:
+                append_tokens(self.segments, version, len(self.tokens) + start, end - start)
+            elif not self.segments:
+                self.segments.append(Segment(version, 0, 0))
+        self.tokens.extend(outcome.tokens)
+
     def clear(self) -> None:
         """Start from the prompt again."""
         self.tokens.clear()
@@ -76,8 +82,8 @@
 class SampleGenerator:
     """Generates samples on the samplers of a pool."""
 
-    def __init__(self, sampler: SamplerClient, router: Router, decisions: DecisionLog) -> None:
-        self._sampler = sampler
+    def __init__(self, executors: StreamExecutors, router: Router, decisions: DecisionLog) -> None:
+        self._executors = executors
         self._router = router
         self._decisions = decisions
 
@@ -174,23 +180,15 @@
             priority=priority,
         )
         self._router.start(target)
-        partial.samplers.append(sampler.name)
         try:
-            async with aclosing(self._sampler.complete(sampler.address, completion)) as chunks:  # type: ignore[type-var]
-                async for chunk in chunks:
-                    start = len(partial.tokens)
-                    append_tokens(partial.segments, chunk.version, start, len(chunk.tokens))
-                    partial.tokens.extend(chunk.tokens)
-                    if chunk.finished:
-                        if not partial.segments:
-                            partial.segments.append(Segment(chunk.version, 0, 0))
-                        return True
-        except SamplerRefused:
-            partial.samplers.pop()
-            self._router.fail_connection(target)
-        except SamplerStreamBroke as error:
-            log.info("sample broke off", extra={"sampler": sampler.name, "error": str(error)})
-            self._router.fail_connection(target)
+            outcome = await self._executors.run(sampler.address, completion)
         finally:
             self._router.finish(target)
-        return False
+        if outcome.refused or outcome.broke:
+            self._router.fail_connection(target)
+        if outcome.refused:
+            return False
+        if outcome.broke:
+            log.info("sample broke off", extra={"sampler": sampler.name, "error": outcome.broke})
+        partial.add(sampler.name, outcome)
+        return outcome.finished
--- a/src/crankseam_experiments/weakened_node.py
+++ b/src/crankseam_experiments/weakened_node.py
@@ -20,7 +20,7 @@
 from crankseam.node import Node
 from crankseam.requests.claim import ClaimFilter, RefusalFilter, RequestClaims
 from crankseam.requests.context import Answer, Next, RequestContext
-from crankseam.rollout import generation, service, step_run
+from crankseam.rollout import executors, generation, service, step_run
 from crankseam.rollout.messages import Segment
 from crankseam.routing import Router
 from crankseam_experiments.spec import FaultName
@@ -47,6 +47,7 @@
             segments[:] = [Segment(first, 0, start + count)]
 
     _replace(generation, "append_tokens", append)
+    _replace(executors, "append_tokens", append)
 
 
 def _deliver_stale() -> None:
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -8,6 +8,7 @@
 
 from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
 from crankseam.identifiers import date_of, new_dated_id
+from crankseam.rollout import executors
 from crankseam.rollout.cursor import format_cursor, parse_cursor
 from crankseam.rollout.messages import OpenStep, SampleRequest, SampleResult
 from crankseam_standins.sampler import SamplerStandin, sample_length, token_at
@@ -172,6 +173,18 @@
     assert_whole_and_true(rollout, results)
 
 
+async def test_streams_are_read_on_other_nodes_too_and_survive_their_death(rollout, monkeypatch):
+    monkeypatch.setattr(executors, "LOCAL_STREAMS", 1)
+    nodes = rollout.cluster.nodes
+    await rollout.open(0)
+    await eventually(lambda: nodes[1].executors.running_for_others > 0, "node 1 reads")
+    await eventually(lambda: nodes[2].executors.running_for_others > 0, "node 2 reads")
+    await rollout.cluster.kill(2)
+    results = await rollout.stream(0)
+    assert sorted(r.index for r in results) == list(range(STEP_SAMPLES))
+    assert_whole_and_true(rollout, results)
+
+
 async def test_malformed_openings_are_typed_problems(rollout):
     url = f"{rollout.cluster.url(0)}/trainers/trainer/steps"
     for body in (b"", b"{}", b"[" * 10_000, b'{"step":1,"opened_at_ms":0,"samples":[]}', b"\xff"):
