A node that stood still sends nothing new until it renewed its view

Cause (review): a node paused between choosing a back end and the first byte went on with a view from before the pause; a back end may have left meanwhile (2 s) and a revision may have come into force (2.5 s). Change: a stall over 0.5 s, seen by the tick or directly before the first byte, bars new sends until others answered something asked after it; the lease is asked again there too. Test failing before: test_a_node_that_was_stopped_sends_nothing_on_its_old_view.

--- a/src/crankseam/cluster/agent.py
+++ b/src/crankseam/cluster/agent.py
@@ -14,6 +14,7 @@
 from crankseam.cluster.digest import DigestTable, MemberStatus
 from crankseam.cluster.known_peers import KnownPeers
 from crankseam.cluster.membership import MembershipController
+from crankseam.cluster.stall_guard import StallGuard
 from crankseam.config.snapshot import StoredSnapshot
 from crankseam.errors import PeerError, PeerUnreachable, RecordError
 from crankseam.peers.messages import (
@@ -63,6 +64,7 @@
             MachineListClient(settings.machine_list) if settings.machine_list else None
         )
         self.known_peers = KnownPeers(settings.data_folder)
+        self.stall_guard = StallGuard(timing.longest_stall)
         self.incarnation = 0
         self.own: Member
         self.transport: PeerTransport
@@ -102,6 +104,7 @@
         self.lease.on_snapshot(lambda snapshot: self.update_own(revision=snapshot.revision))
         self.membership = MembershipController(self, seeds)
         self._register_handlers()
+        self.tasks.start(self.stall_guard.run(), "stall guard")
         self.tasks.start(self.membership.run(), "membership")
         self.tasks.start(self._follow_snapshot(), "snapshot")
 
@@ -202,6 +205,10 @@
             self.own = msgspec.structs.replace(self.own, sequence=known.sequence)
             self.update_own()
 
+    def may_send_work(self) -> bool:
+        """Whether this node may send new work to a back end now. Ask directly before sending."""
+        return self.stall_guard.is_fresh() and self.lease.is_held()
+
     @property
     def is_leaving(self) -> bool:
         """Whether a planned stop has begun."""
--- a/src/crankseam/cluster/membership.py
+++ b/src/crankseam/cluster/membership.py
@@ -138,6 +138,7 @@
             await self._beat()
             if self.is_relay():
                 await self._relay_work()
+            self._agent.stall_guard.view_renewed(started)
             self._agent.adopt_known_sets()
             await self._sleep_until_next(started)
 
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -123,7 +123,9 @@
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
         sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
         self.executors = StreamExecutors(agent, sampler)
-        generator = SampleGenerator(self.executors, self.router, self.decisions)
+        generator = SampleGenerator(
+            self.executors, self.router, self.decisions, agent.may_send_work
+        )
         self.rollout = RolloutService(agent, generator)
         claims = self.claims = RequestClaims(agent)
         # The way of an app request, first to last.
@@ -137,7 +139,7 @@
                 ServiceLimitFilter(self.limits),
                 ClaimFilter(claims),
             ],
-            Forwarder(self._session, self.router, self.decisions),
+            Forwarder(self._session, self.router, self.decisions, agent.may_send_work),
         )
         app.middlewares.append(self._answer_problems)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 
 import aiohttp
 from aiohttp import web
@@ -44,6 +45,7 @@
 MIN_REMAINING_SECONDS = 0.005
 """A request with less time than this left is not forwarded any more."""
 RETRY_NO_BACK_END_SECONDS = 1.0
+RETRY_STALE_SECONDS = 1.0
 RETRY_RATIO = 0.1
 RETRY_RESERVE = 20.0
 
@@ -61,9 +63,14 @@
     """
 
     def __init__(
-        self, session: aiohttp.ClientSession, router: Router, decisions: DecisionLog
+        self,
+        session: aiohttp.ClientSession,
+        router: Router,
+        decisions: DecisionLog,
+        may_send: Callable[[], bool],
     ) -> None:
         self._session = session
+        self._may_send = may_send
         self._router = router
         self._decisions = decisions
         self._budget = RetryBudget(RETRY_RATIO, RETRY_RESERVE)
@@ -115,7 +122,10 @@
 
     async def _attempt(self, context: RequestContext, back_end: BackEnd) -> Answer:
         target = f"{context.service_name}/{back_end.name}"
-        # Directly before the first byte: this process may have been stopped since the claim.
+        # Directly before the first byte: this process may have been stopped since the choice.
+        if not self._may_send():
+            outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+            raise Unavailable("this node was cut off or stopped", outcome, RETRY_STALE_SECONDS)
         remaining = context.remaining()
         if remaining < MIN_REMAINING_SECONDS:
             outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -82,8 +82,15 @@
 class SampleGenerator:
     """Generates samples on the samplers of a pool."""
 
-    def __init__(self, executors: StreamExecutors, router: Router, decisions: DecisionLog) -> None:
+    def __init__(
+        self,
+        executors: StreamExecutors,
+        router: Router,
+        decisions: DecisionLog,
+        may_send: Callable[[], bool],
+    ) -> None:
         self._executors = executors
+        self._may_send = may_send
         self._router = router
         self._decisions = decisions
 
@@ -105,6 +112,9 @@
         backoff = Backoff(WAIT_FOR_SAMPLER_BASE, WAIT_FOR_SAMPLER_CAP)
         while True:
             wanted = target()
+            if not self._may_send():
+                await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
+                continue
             decision = self._choose(step, request, wanted)
             if decision.choice is None:
                 await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
--- a/src/crankseam/settings.py
+++ b/src/crankseam/settings.py
@@ -47,6 +47,8 @@
     """How often a weight coordinator looks for new versions and at its samplers."""
     configuration_term: Duration = 2.5
     """How long a node may serve under a revision after a majority was known to hold it."""
+    longest_stall: Duration = 0.5
+    """A process that stood still for longer renews its view before it sends anything new."""
     clock_margin: Duration = 0.1
     """A holder gives up this much earlier than its term, for bounded drift of clock rates."""
     peer_timeout: Duration = 1.0
--- a/src/crankseam_experiments/fleet.py
+++ b/src/crankseam_experiments/fleet.py
@@ -96,7 +96,10 @@
                     self._add_standin(sampler.name, "sampler", sampler.address, *sampler_flags)
             if isinstance(document, Service):
                 for back_end in document.back_ends:
-                    self._add_standin(back_end.name, "app", back_end.address)
+                    work = str(self.spec.app_work_seconds)
+                    self._add_standin(
+                        back_end.name, "app", back_end.address, "--work-seconds", work
+                    )
 
     def _plan_nodes(self) -> None:
         number = 0
--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -112,7 +112,7 @@
     """One experiment with separate processes."""
 
     name: str
-    kind: Literal["processes"] = "processes"
+    kind: Literal["processes", "latency"] = "processes"
     configuration: list[str] = Field(min_length=1)
     """Files or folders, relative to the experiment file."""
     region: Name
@@ -122,6 +122,8 @@
     """Nodes listen on 127.0.BASE.N."""
     platform: Platform
     samplers: Samplers = Samplers()
+    app_work_seconds: float = Field(default=0.005, ge=0)
+    """Mean time that an app server works on a request."""
     trainer: TrainerLoad | None = None
     callers: CallerLoad | None = None
     faults: FaultPlan | None = None
--- a/src/crankseam_experiments/verb.py
+++ b/src/crankseam_experiments/verb.py
@@ -13,6 +13,7 @@
 
 from crankseam.cli import exit_codes
 from crankseam_experiments.comparison import run_comparison
+from crankseam_experiments.latency import run_latency
 from crankseam_experiments.runner import run_processes
 from crankseam_experiments.scale import run_scale
 from crankseam_experiments.spec import ScaleExperiment, load_experiment
@@ -40,6 +41,9 @@
     out = arguments.out.resolve()
     if isinstance(spec, ScaleExperiment):
         report = asyncio.run(run_scale(spec, arguments.seed, out))
+    elif spec.kind == "latency":
+        folder = arguments.file.resolve().parent
+        report = asyncio.run(run_latency(spec, folder, arguments.seed, out))
     elif spec.policies:
         folder = arguments.file.resolve().parent
         report = asyncio.run(run_comparison(spec, folder, arguments.seed, out))
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -4,6 +4,7 @@
 
 from crankseam.cluster.digest import MemberStatus
 from crankseam.cluster.liveness import LivenessJudge
+from crankseam.cluster.stall_guard import StallGuard
 from crankseam.peers.messages import Member
 from tests.support.harness import Platform, SmallAgent, eventually, settings_for
 
@@ -150,6 +151,21 @@
     assert second.silent(["a"]) == ["a"]
 
 
+def test_a_stall_ends_only_with_an_answer_to_what_was_asked_after_it():
+    now = [0.0]
+    guard = StallGuard(longest=0.5, clock=lambda: now[0])
+    assert guard.is_fresh()
+    asked_before = now[0]
+    now[0] = 3.0  # stopped
+    assert not guard.is_fresh()
+    guard.tick()
+    guard.view_renewed(asked_before)
+    assert not guard.is_fresh()
+    now[0] = 3.1
+    guard.view_renewed(now[0])
+    assert guard.is_fresh()
+
+
 async def test_a_death_in_a_zone_of_four_is_known_to_all(platform, agents):
     addresses: list[str] = []
     for index in range(8):
--- a/tests/requests/test_app_requests.py
+++ b/tests/requests/test_app_requests.py
@@ -147,6 +147,25 @@
     assert len(cluster.platform.accounts["app-0"].lines) == before
 
 
+async def test_a_node_that_was_stopped_sends_nothing_on_its_old_view(cluster, session):
+    """Paused between its choice and the first byte, for longer than a back end needs to leave."""
+    node = cluster.nodes[0]
+    key = new_dated_id()
+    decide = node.decisions.record
+
+    def pause_after_the_choice(decision):
+        decide(decision)
+        node.agent.stall_guard._ticked_at -= 10.0
+
+    node.decisions.record = pause_after_the_choice
+    status, problem, _ = await book(session, cluster.url(0), key)
+    assert (status, problem["outcome"]) == (503, "not_run")
+    assert key not in cluster.platform.ran()
+    node.decisions.record = decide
+    await eventually(node.agent.may_send_work, "the view is renewed")
+    assert (await book(session, cluster.url(0), new_dated_id()))[0] == 200
+
+
 async def test_a_request_survives_its_nodes_death_as_unknown(cluster, session):
     """The record of a claim outlives the claimant; the retry is answered at once."""
     key = new_dated_id()
