--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -154,7 +154,16 @@
     timing: dict[str, str] = {}
 
 
-AnyExperiment = Experiment | ScaleExperiment
+class SlopesExperiment(_Concern):
+    """Costs of one more unit of work, in one process."""
+
+    name: str
+    kind: Literal["slopes"]
+    records: int = Field(default=4000, ge=100)
+
+
+AnyExperiment = Experiment | ScaleExperiment | SlopesExperiment
+MODELS: dict[str, type[AnyExperiment]] = {"scale": ScaleExperiment, "slopes": SlopesExperiment}
 
 
 def load_experiment(file: Path) -> AnyExperiment:
@@ -164,7 +173,7 @@
         InvalidConfiguration: with one FieldError for each thing wrong.
     """
     text, content = read_toml(file)
-    model = ScaleExperiment if content.get("kind") == "scale" else Experiment
+    model = MODELS.get(str(content.get("kind")), Experiment)
     try:
         return model.model_validate(content)
     except ValidationError as error:
--- a/src/crankseam_experiments/verb.py
+++ b/src/crankseam_experiments/verb.py
@@ -16,7 +16,8 @@
 from crankseam_experiments.latency import run_latency
 from crankseam_experiments.runner import run_processes
 from crankseam_experiments.scale import run_scale
-from crankseam_experiments.spec import ScaleExperiment, load_experiment
+from crankseam_experiments.slopes import run_slopes
+from crankseam_experiments.spec import ScaleExperiment, SlopesExperiment, load_experiment
 from crankseam_experiments.weakened_node import WEAKENINGS
 
 
@@ -41,6 +42,8 @@
     out = arguments.out.resolve()
     if isinstance(spec, ScaleExperiment):
         report = asyncio.run(run_scale(spec, arguments.seed, out))
+    elif isinstance(spec, SlopesExperiment):
+        report = asyncio.run(run_slopes(spec, out))
     elif spec.kind == "latency":
         folder = arguments.file.resolve().parent
         report = asyncio.run(run_latency(spec, folder, arguments.seed, out))
