Hand a slot's state over in pages; smaller request records

Cause (from the slopes): at the two-year size a slot of 48 holds some 15,000 request records of 700 bytes and samples of 5 KB a thousand tokens, 13 MB, close to the largest frame of 16 MB; past it a slot could not be moved. Change: seal and install work in pages of 2 MB; the claim's token and digest are as short as their purpose allows. Test failing before: test_a_large_slot_moves_in_pages.

--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -112,11 +112,13 @@
 
 
 class Seal(Message, tag="S"):
-    """End an epoch: refuse its operations from now on and return the slot's state."""
+    """End an epoch: refuse its operations from now on and return a page of the slot's state."""
 
     slot: int
     epoch: int
     next_set: ReplicaSet
+    after: str = ""
+    """Key after which the page begins."""
 
 
 class StoredRecord(msgspec.Struct, array_like=True):
@@ -129,14 +131,16 @@
 
 
 class SlotState(Message, tag="T"):
-    """All registers of a slot, and the newest date that was dropped."""
+    """Registers of a slot in order of key, and the newest date that was dropped."""
 
     records: list[StoredRecord]
     forgotten: int
+    is_last: bool = True
+    """False: more pages follow after the last key."""
 
 
 class Install(Message, tag="I"):
-    """Start an epoch on a new member with the merged state of the old one."""
+    """Start an epoch on a new member with the merged state of the old one, page by page."""
 
     replica_set: ReplicaSet
     state: SlotState
--- a/src/crankseam/records/reconfigurer.py
+++ b/src/crankseam/records/reconfigurer.py
@@ -12,7 +12,7 @@
 
 import msgspec
 
-from crankseam.errors import NoQuorum
+from crankseam.errors import NoQuorum, PeerError
 from crankseam.peers.messages import (
     Done,
     Install,
@@ -24,6 +24,7 @@
     SlotState,
     StoredRecord,
 )
+from crankseam.records import replica
 from crankseam.records.proposer import Caller, Proposer, RecordKey
 from crankseam.records.replica import UNDATED
 from crankseam.records.slots import SlotTable, majority
@@ -81,24 +82,71 @@
         return agreed
 
     async def _seal(self, current: ReplicaSet, agreed: ReplicaSet) -> SlotState:
-        message = Seal(current.slot, current.epoch, agreed)
-        answers = await self._ask_all(current.members, message)
-        states = [answer for answer in answers if isinstance(answer, SlotState)]
+        """Seal a majority of the old set and merge what its members hold."""
+        reads = [self._read_state(member, current, agreed) for member in current.members]
+        answers = await asyncio.gather(*reads)
+        states = [answer for answer in answers if answer is not None]
         if len(states) < majority(current):
             raise NoQuorum(f"sealed {len(states)} replicas of slot {current.slot}")
         return merge_states(states)
 
+    async def _read_state(
+        self, member: str, current: ReplicaSet, agreed: ReplicaSet
+    ) -> SlotState | None:
+        """All pages of one member's state; None if it could not be read whole."""
+        records: list[StoredRecord] = []
+        after = ""
+        while True:
+            message = Seal(current.slot, current.epoch, agreed, after)
+            try:
+                page = await self._caller.call_identity(member, message, HANDOVER_TIMEOUT)
+            except PeerError:
+                return None
+            if not isinstance(page, SlotState):
+                return None
+            records += page.records
+            if page.is_last:
+                return SlotState(records, page.forgotten)
+            after = page.records[-1].key
+
     async def _install(self, agreed: ReplicaSet, state: SlotState) -> None:
-        answers = await self._ask_all(agreed.members, Install(agreed, state))
-        installed = sum(isinstance(answer, Done) for answer in answers)
-        if installed < majority(agreed):
-            raise NoQuorum(f"installed {installed} replicas of slot {agreed.slot}")
+        pages = split_pages(state)
+        answers = await asyncio.gather(
+            *(self._send_pages(m, agreed, pages) for m in agreed.members)
+        )
+        if sum(answers) < majority(agreed):
+            raise NoQuorum(f"installed {sum(answers)} replicas of slot {agreed.slot}")
+
+    async def _send_pages(self, member: str, agreed: ReplicaSet, pages: list[SlotState]) -> bool:
+        for page in pages:
+            message = Install(agreed, page)
+            try:
+                answer = await self._caller.call_identity(member, message, HANDOVER_TIMEOUT)
+            except PeerError:
+                return False
+            if not isinstance(answer, Done):
+                return False
+        return True
 
     async def _ask_all(self, members: list[str], message: Message) -> list[object]:
         calls = [self._caller.call_identity(m, message, HANDOVER_TIMEOUT) for m in members]
         return list(await asyncio.gather(*calls, return_exceptions=True))
 
 
+def split_pages(state: SlotState) -> list[SlotState]:
+    """The state in pages; the last one is marked so."""
+    pages = [SlotState([], state.forgotten, is_last=False)]
+    size = 0
+    for record in state.records:
+        if size >= replica.PAGE_BYTES:
+            pages.append(SlotState([], state.forgotten, is_last=False))
+            size = 0
+        pages[-1].records.append(record)
+        size += len(record.key) + len(record.value) + replica.RECORD_OVERHEAD_BYTES
+    pages[-1].is_last = True
+    return pages
+
+
 def merge_states(states: list[SlotState]) -> SlotState:
     """For each register the value accepted at the highest ballot, so every agreed value."""
     merged: dict[str, StoredRecord] = {}
--- a/src/crankseam/records/replica.py
+++ b/src/crankseam/records/replica.py
@@ -28,6 +28,10 @@
 
 log = logging.getLogger(__name__)
 
+PAGE_BYTES = 2 * 1024 * 1024
+"""State is handed over in pages of about this size, far below the largest frame."""
+RECORD_OVERHEAD_BYTES = 40
+
 
 @dataclass(slots=True)
 class Register:
@@ -67,6 +71,7 @@
         self._learn = learn
         self.slots: dict[int, Slot] = {}
         self._highest_epochs: dict[int, int] = {}
+        self._staged: dict[tuple[int, int], Slot] = {}
         self.operations = 0
 
     def adopt(self, replica_set: ReplicaSet) -> None:
@@ -81,6 +86,9 @@
         # An epoch once held may not be started again, even after its slot was dropped here:
         # this replica would come back without its votes.
         self._highest_epochs[slot.replica_set.slot] = slot.replica_set.epoch
+        for number, epoch in list(self._staged):
+            if number == slot.replica_set.slot and epoch <= slot.replica_set.epoch:
+                del self._staged[number, epoch]  # left behind by a mover that died
 
     def _find(self, slot_number: int, epoch: int) -> Slot | StaleEpoch:
         slot = self.slots.get(slot_number)
@@ -170,20 +178,26 @@
         if slot.replica_set == message.next_set:
             # Installed here already. What this replica accepted since may be passed on: it is as
             # if the new member had received the same Accept.
-            return self._state(slot)
+            return self._page(slot, message.after)
         if slot.replica_set.epoch != message.epoch:
             return StaleEpoch(slot.replica_set)
         slot.sealed_by = message.next_set
         self._learn(message.next_set)
-        return self._state(slot)
+        return self._page(slot, message.after)
 
     @staticmethod
-    def _state(slot: Slot) -> SlotState:
-        records = [
-            StoredRecord(key, register.dated, register.accepted, register.value)
-            for key, register in slot.registers.items()
-            if register.accepted is not None and register.value is not None
-        ]
+    def _page(slot: Slot, after: str) -> SlotState:
+        """Registers after a key, up to a page full. A sealed slot does not change meanwhile."""
+        records = []
+        size = 0
+        for key in sorted(key for key in slot.registers if key > after):
+            register = slot.registers[key]
+            if register.accepted is None or register.value is None:
+                continue
+            records.append(StoredRecord(key, register.dated, register.accepted, register.value))
+            size += len(key) + len(register.value) + RECORD_OVERHEAD_BYTES
+            if size >= PAGE_BYTES:
+                return SlotState(records, slot.forgotten, is_last=False)
         return SlotState(records, slot.forgotten)
 
     async def on_install(self, _peer: str, message: AnyMessage) -> AnyMessage:
@@ -194,18 +208,30 @@
             return StaleEpoch(None)
         if self._highest_epochs.get(target.slot, 0) >= target.epoch:
             return Done() if target.slot in self.slots else StaleEpoch(None)
-        forgotten = max(message.state.forgotten, target.floor)
-        slot = Slot(target, forgotten=forgotten)
-        for record in message.state.records:
-            # A promise no lower than what was accepted keeps ballots of the old epoch out.
-            slot.registers[record.key] = Register(
-                record.dated, record.accepted, record.accepted, record.value
-            )
-        self._start(slot)
+        staged = self._staged.setdefault((target.slot, target.epoch), Slot(target))
+        self._stage(staged, message.state)
+        if not message.state.is_last:
+            return Done()
+        staged.forgotten = max(staged.forgotten, target.floor)
+        self._start(staged)
         self._learn(target)
         log.info("replica installed", extra={"slot": target.slot, "epoch": target.epoch})
         return Done()
 
+    @staticmethod
+    def _stage(staged: Slot, state: SlotState) -> None:
+        """Add a page. Pages of two movers may mix: each mover's pages hold every agreed value, and
+        the higher ballot wins."""
+        staged.forgotten = max(staged.forgotten, state.forgotten)
+        for record in state.records:
+            standing = staged.registers.get(record.key)
+            if standing is not None and standing.promised >= record.accepted:
+                continue
+            # A promise no lower than what was accepted keeps ballots of the old epoch out.
+            staged.registers[record.key] = Register(
+                record.dated, record.accepted, record.accepted, record.value
+            )
+
     def sealed(self) -> list[tuple[ReplicaSet, ReplicaSet]]:
         """Old and agreed set of each slot that was sealed here and not installed again."""
         return [
--- a/src/crankseam/requests/claim.py
+++ b/src/crankseam/requests/claim.py
@@ -45,6 +45,7 @@
 
 REPLAYED_HEADER = "Crankseam-Replayed"
 RETRY_SECONDS = 1.0
+DIGEST_LENGTH = 16
 SETTLE_SECONDS = 5.0
 """How long a node tries to commit how a request ended, after which it is left as claimed."""
 SETTLE_PATIENCE_SECONDS = 0.25
@@ -69,19 +70,19 @@
         self.settling = 0
 
     def _locate(self, context: RequestContext) -> RecordKey:
-        key = f"request/{context.service_name}/{context.idempotency_key}"
+        key = f"r/{context.service_name}/{context.idempotency_key}"
         return self._agent.locate(key, context.key_date)
 
     @staticmethod
     def digest(context: RequestContext) -> str:
         head = f"{context.http.method} {context.path}\n".encode()
-        return hashlib.sha256(head + context.body).hexdigest()[:32]
+        return hashlib.sha256(head + context.body).hexdigest()[:DIGEST_LENGTH]
 
     def _new_record(self, context: RequestContext, state: RequestState) -> RequestRecord:
         return RequestRecord(
             state=state,
             attempt=context.request_id,
-            claimant=f"{self._agent.identity}#{context.claim_token}",
+            claimant=context.claim_token,
             body_digest=self.digest(context),
         )
 
--- a/src/crankseam/requests/context.py
+++ b/src/crankseam/requests/context.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
+import secrets
 import time
-import uuid
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
@@ -45,7 +45,7 @@
     snapshot: Snapshot | None = None
     service: Service | None = None
     must_not_repeat: bool = False
-    claim_token: str = field(default_factory=lambda: uuid.uuid4().hex)
+    claim_token: str = field(default_factory=lambda: secrets.token_hex(8))
     """Tells this handling of the request from any other, also of the same attempt."""
     dispatched: bool = False
     answer_started: bool = False
--- a/src/crankseam/requests/request_record.py
+++ b/src/crankseam/requests/request_record.py
@@ -29,6 +29,7 @@
     attempt: str
     """Request id of the attempt that the state is about."""
     claimant: str = ""
+    """Token of the handling that holds the claim."""
     refused_attempts: list[str] = []
     """Attempts that were told `not_run`; they may never claim again."""
     status: int = 0
--- a/src/crankseam_experiments/slopes.py
+++ b/src/crankseam_experiments/slopes.py
@@ -90,8 +90,7 @@
 def claim_and_answer() -> tuple[bytes, bytes]:
     """The two values of one app request, with an answer of 300 bytes."""
     claim = RequestRecord(
-        RequestState.CLAIMED, new_dated_id(), "node-0001@1796196748835#" + "0" * 32,
-        body_digest="0" * 32,
+        RequestState.CLAIMED, new_dated_id(), "0" * 16, body_digest="0" * 16
     )  # fmt: skip
     answer = msgspec.structs.replace(
         claim,
@@ -151,7 +150,7 @@
 
     async def request(_number: int) -> None:
         key = new_dated_id()
-        where = RecordKey(0, f"request/booking-app/{key}", date_of(key))
+        where = RecordKey(0, f"r/booking-app/{key}", date_of(key))
         owned = await proposer.create(where, claim)
         assert owned is not None
         assert await proposer.overwrite(where, owned, answer)
--- a/src/crankseam_experiments/weakened_node.py
+++ b/src/crankseam_experiments/weakened_node.py
@@ -72,7 +72,7 @@
 
     def locate(self: RequestClaims, context: RequestContext) -> Any:
         agent: ClusterAgent = self._agent
-        key = f"request/{context.service_name}/{str(context.idempotency_key)[:8]}"
+        key = f"r/{context.service_name}/{str(context.idempotency_key)[:8]}"
         return agent.locate(key, context.key_date)
 
     _replace(RequestClaims, "_locate", locate)
--- a/tests/records/test_proposer.py
+++ b/tests/records/test_proposer.py
@@ -4,6 +4,7 @@
 
 from crankseam.errors import NoQuorum, RecordExpired
 from crankseam.peers.messages import FAST_BALLOT, Accept, Install, Seal
+from crankseam.records import replica
 from crankseam.records.proposer import RecordKey
 from tests.support.memory_cluster import MemoryCluster
 
@@ -140,3 +141,28 @@
     )
     with pytest.raises(NoQuorum):
         await client.reconfigurer.move(replica_set, ["a@1", "b@1", "d@1"])
+
+
+async def test_a_large_slot_moves_in_pages(cluster, monkeypatch):
+    """Found from docs/CAPACITY.md: at the two-year size a slot's state passes the largest frame."""
+    monkeypatch.setattr(replica, "PAGE_BYTES", 300)
+    replica_set = cluster.found(MEMBERS)
+    client = cluster.client("p@1", replica_set)
+    where = [RecordKey(0, f"record-{number:03d}", 1000) for number in range(40)]
+    for number, record in enumerate(where):
+        await client.proposer.change(record, lambda _value, n=number: b"%d" % n * 20)
+    store = cluster.add("d@1")
+    pages = []
+    install = store.on_install
+
+    async def count_pages(peer, message):
+        pages.append(message)
+        return await install(peer, message)
+
+    store.on_install = count_pages
+    moved = await client.reconfigurer.move(replica_set, ["a@1", "b@1", "d@1"])
+    reader = cluster.client("q@1", moved)
+    for number, record in enumerate(where):
+        assert await reader.proposer.read(record) == b"%d" % number * 20
+    assert len(pages) > 5
+    assert store.record_count() == 40
