--- a/src/crankseam/clients/sampler.py
+++ b/src/crankseam/clients/sampler.py
@@ -12,6 +12,7 @@
 
 DATA_PREFIX = b"data: "
 END_OF_STREAM = b"[DONE]"
+REASON_BOUND = "length"
 
 
 class SamplerError(CrankseamError):
@@ -40,6 +41,8 @@
     tokens: list[int]
     version: int
     finished: bool = False
+    cut_by_bound: bool = False
+    """The completion ended at its max_tokens, not by itself."""
 
 
 class SamplerState(msgspec.Struct):
@@ -66,6 +69,7 @@
     """One completion to generate.
 
     Attributes:
+        max_tokens: bound on the tokens of this completion, without the prior ones.
         prior_tokens: tokens already generated elsewhere, to go on from.
         priority: lower numbers run first.
     """
@@ -159,5 +163,9 @@
         except msgspec.DecodeError as error:
             raise SamplerStreamBroke("malformed event") from error
         choice = completion.choices[0]
-        finished = choice.finish_reason is not None
-        yield TokenChunk(choice.token_ids, completion.weight_version, finished)
+        yield TokenChunk(
+            tokens=choice.token_ids,
+            version=completion.weight_version,
+            finished=choice.finish_reason is not None,
+            cut_by_bound=choice.finish_reason == REASON_BOUND,
+        )
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -39,6 +39,7 @@
 from crankseam.requests.limits import AdmissionFilter, ServiceLimitFilter
 from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.generation import SampleGenerator
+from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.service import RolloutService
 from crankseam.routing import Router
 from crankseam.settings import NodeSettings
@@ -123,10 +124,11 @@
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
         sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
         self.executors = StreamExecutors(agent, sampler)
+        lengths = LengthEstimator()
         generator = SampleGenerator(
-            self.executors, self.router, self.decisions, agent.may_send_work
+            self.executors, self.router, self.decisions, agent.may_send_work, lengths
         )
-        self.rollout = RolloutService(agent, generator)
+        self.rollout = RolloutService(agent, generator, lengths)
         claims = self.claims = RequestClaims(agent)
         # The way of an app request, first to last.
         self._chain = build_chain(
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -283,6 +283,7 @@
     segments: list[tuple[int, int, int]]
     """(version, start, end) over [0, len(tokens))."""
     finished: bool = False
+    cut_by_bound: bool = False
     refused: bool = False
     broke: str = ""
 
--- a/src/crankseam/rollout/executors.py
+++ b/src/crankseam/rollout/executors.py
@@ -53,6 +53,7 @@
                 if chunk.finished and not segments:
                     segments.append(Segment(chunk.version, 0, 0))
                 outcome.finished = chunk.finished
+                outcome.cut_by_bound = chunk.cut_by_bound
     except SamplerRefused:
         outcome.refused = True
     except SamplerStreamBroke as error:
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -13,6 +13,8 @@
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
 from crankseam.rollout.executors import StreamExecutors
+from crankseam.rollout.lanes import lane_of, lane_rule
+from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import (
     SampleRequest,
     SampleResult,
@@ -24,8 +26,10 @@
 
 log = logging.getLogger(__name__)
 
+REASON = "least load within the staleness bound"
+REASON_LONG = "a long sample: a small batch first, then least load within the staleness bound"
 WAIT_FOR_SAMPLER_BASE = 0.02
-WAIT_FOR_SAMPLER_CAP = 0.5
+WAIT_FOR_SAMPLER_CAP = 0.1
 
 
 @dataclass
@@ -88,7 +92,9 @@
         router: Router,
         decisions: DecisionLog,
         may_send: Callable[[], bool],
+        lengths: LengthEstimator,
     ) -> None:
+        self._lengths = lengths
         self._executors = executors
         self._may_send = may_send
         self._router = router
@@ -115,7 +121,8 @@
             if not self._may_send():
                 await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
                 continue
-            decision = self._choose(step, request, wanted)
+            is_long = self._is_long(request, partial)
+            decision = self._choose(step, request, wanted, is_long)
             if decision.choice is None:
                 await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
                 continue
@@ -123,7 +130,8 @@
             sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
             if partial.segments and oldest_version(partial.segments) < wanted.oldest_allowed:
                 partial.clear()  # carried on, it could not be delivered
-            if await self._attempt(sampler, step, request, wanted, partial, priority()):
+            bound = self._bound(request, partial, wanted, is_long)
+            if await self._attempt(sampler, step, request, wanted, partial, priority(), bound):
                 return SampleResult(
                     trainer=wanted.trainer.name,
                     step=step,
@@ -135,26 +143,49 @@
                     decision_id=decision.decision_id,
                 )
 
+    def _is_long(self, request: SampleRequest, partial: PartialSample) -> bool:
+        threshold = self._lengths.long_from()
+        proven = threshold is not None and len(partial.tokens) >= threshold
+        return proven or self._lengths.is_expected_long(request)
+
+    def _bound(
+        self,
+        request: SampleRequest,
+        partial: PartialSample,
+        wanted: GenerationTarget,
+        is_long: bool,
+    ) -> int:
+        """Tokens to ask for now: up to where the sample proves long and is to be moved."""
+        remaining = request.max_tokens - len(partial.tokens)
+        threshold = self._lengths.long_from()
+        if is_long or threshold is None or not lane_of(wanted.pool):
+            return remaining
+        return max(1, min(remaining, threshold - len(partial.tokens)))
+
     def has_eligible(self, wanted: GenerationTarget) -> bool:
         """Whether any sampler could take a sample now, were it not full."""
         pool = wanted.pool
         choice = self._router.choose(pool.name, pool.samplers, _version_rule(wanted))
         return choice.back_end is not None
 
-    def _choose(self, step: int, request: SampleRequest, wanted: GenerationTarget) -> Decision:
+    def _choose(
+        self, step: int, request: SampleRequest, wanted: GenerationTarget, is_long: bool
+    ) -> Decision:
         pool = wanted.pool
         version_rule = _version_rule(wanted)
 
+        lanes = lane_rule(pool, is_long)
+
         def eligible(candidate: Candidate) -> str | None:
             in_flight = self._router.view(f"{pool.name}/{candidate.name}").in_flight
-            if in_flight >= pool.max_running_per_sampler:
+            if in_flight >= lanes.places(candidate.name):
                 return f"full: {in_flight} running"
             return version_rule(candidate)
 
         if pool.routing == "round_robin":
             choice = self._router.take_turns(pool.name, pool.samplers, eligible)
         else:
-            choice = self._router.choose(pool.name, pool.samplers, eligible)
+            choice = self._router.choose(pool.name, pool.samplers, eligible, prefers=lanes.prefers)
         subject = f"{wanted.trainer.name}/{step}/{request.index}"
         decision = Decision(
             decision_id=self._decisions.new_id(),
@@ -163,7 +194,7 @@
             node=self._decisions.node,
             revision=wanted.revision,
             at="",
-            reason="least load within the staleness bound",
+            reason=REASON_LONG if is_long else REASON,
             choice=choice.back_end.name if choice.back_end else None,
             candidates=choice.candidates,
         )
@@ -179,13 +210,15 @@
         wanted: GenerationTarget,
         partial: PartialSample,
         priority: int,
+        bound: int,
     ) -> bool:
-        """Generate on one sampler; False if it broke off (what came is kept in `partial`)."""
+        """Generate at most `bound` tokens on one sampler; False if the sample is not whole then
+        (what came is kept in `partial`)."""
         target = f"{wanted.pool.name}/{sampler.name}"
         completion = CompletionRequest(
             request_id=f"{wanted.trainer.name}/{step}/{request.index}",
             prompt=request.prompt,
-            max_tokens=request.max_tokens,
+            max_tokens=bound,
             prior_tokens=list(partial.tokens),
             priority=priority,
         )
@@ -201,4 +234,6 @@
         if outcome.broke:
             log.info("sample broke off", extra={"sampler": sampler.name, "error": outcome.broke})
         partial.add(sampler.name, outcome)
+        if outcome.cut_by_bound:
+            return len(partial.tokens) >= request.max_tokens
         return outcome.finished
--- a/src/crankseam/rollout/service.py
+++ b/src/crankseam/rollout/service.py
@@ -13,6 +13,7 @@
 from crankseam.errors import BadRequest, NotFound, RecordError, StillRunning, Unavailable
 from crankseam.rollout.cursor import parse_cursor
 from crankseam.rollout.generation import GenerationTarget, SampleGenerator
+from crankseam.rollout.lanes import lane_of
 from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import Acknowledge, OpenStep
 from crankseam.rollout.sample_records import STEP_RETENTION_MILLISECONDS, SampleRecords
@@ -30,10 +31,12 @@
 class RolloutService:
     """Opens steps, streams their samples and takes acknowledgements."""
 
-    def __init__(self, agent: ClusterAgent, generator: SampleGenerator) -> None:
+    def __init__(
+        self, agent: ClusterAgent, generator: SampleGenerator, lengths: LengthEstimator
+    ) -> None:
         self._agent = agent
         self._generator = generator
-        self._lengths = LengthEstimator()
+        self._lengths = lengths
         self._runs: dict[tuple[str, int], StepRun] = {}
         self._schedulers: dict[str, PoolScheduler] = {}
         self.streams = 0
@@ -130,7 +133,9 @@
     def _scheduler(self, pool_name: str) -> PoolScheduler:
         def capacity() -> int:
             pool = self._agent.lease.snapshot.pools[pool_name]
-            return len(pool.samplers) * pool.max_running_per_sampler
+            lane = len(lane_of(pool))
+            full = (len(pool.samplers) - lane) * pool.max_running_per_sampler
+            return full + lane * pool.long_sample_batch
 
         if pool_name not in self._schedulers:
             self._schedulers[pool_name] = PoolScheduler(capacity)
--- a/src/crankseam_standins/sampler.py
+++ b/src/crankseam_standins/sampler.py
@@ -22,11 +22,15 @@
 
 VOCABULARY = 50_000
 MIN_SLEEP = 0.001
+NO_BOUND = 1_000_000
 MAX_CACHE_EVENTS = 10_000
 
 
 def sample_length(parameters: SamplerParameters, prompt: str, max_tokens: int) -> int:
-    """Length of the sample for a prompt `group|rest`: the same prompt gives the same length."""
+    """Length of the sample for a prompt `group|rest`: the same prompt gives the same length.
+
+    `max_tokens` bounds the whole sample.
+    """
     group, _, _ = prompt.partition("|")
     group_random = random.Random(f"group {group}")
     own_random = random.Random(f"prompt {prompt}")
@@ -55,6 +59,7 @@
     events: asyncio.Queue = field(default_factory=asyncio.Queue)
     pending: list[int] = field(default_factory=list)
     pending_version: int = 0
+    finish_reason: str = "stop"
     prefill_tokens: int = 0
     cancelled: bool = False
 
@@ -230,7 +235,7 @@
                     "index": 0,
                     "text": "",
                     "token_ids": sequence.pending,
-                    "finish_reason": "stop" if finished else None,
+                    "finish_reason": sequence.finish_reason if finished else None,
                 }
             ],
         }
@@ -257,7 +262,11 @@
         if self.faults.leaving:
             return web.Response(status=503, headers={"Retry-After": "5"})
         prior = body.get("prior_token_ids", [])
-        length = sample_length(self._parameters, body["prompt"], body["max_tokens"])
+        # max_tokens bounds this completion; a natural end before it is told apart by the reason.
+        bound = len(prior) + body["max_tokens"]
+        length = sample_length(self._parameters, body["prompt"], NO_BOUND)
+        cut_short = length > bound
+        length = min(length, bound)
         sequence = Sequence(
             request_id=body["request_id"],
             prompt=body["prompt"],
@@ -265,6 +274,7 @@
             position=min(len(prior), max(0, length - 1)),
             length=length,
             order=next(self._orders),
+            finish_reason="length" if cut_short else "stop",
         )
         response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
         await response.prepare(request)
