Split membership by job; a relay anew does not count old silence

Cause (review): a node that was a relay, stopped being one and became one again judged members by what it had heard the first time, and would have declared them dead at once. Test failing before: test_a_node_that_becomes_a_relay_again_does_not_count_old_silence.

--- a/src/crankseam/cluster/agent.py
+++ b/src/crankseam/cluster/agent.py
@@ -262,7 +262,7 @@
             await asyncio.sleep(pause)
 
     async def _fetch_snapshot(self, revision: int) -> None:
-        relays = [m for m in self.membership.relays() if m.name != self.settings.name]
+        relays = [m for m in self.membership.order.relays() if m.name != self.settings.name]
         for relay in relays:
             try:
                 answer = await self.transport.call_for(
--- a/src/crankseam/cluster/liveness.py
+++ b/src/crankseam/cluster/liveness.py
@@ -72,6 +72,11 @@
         since = now - self._dead_after
         return [name for name in names if self._heard_at.setdefault(name, now) < since]
 
+    def start_anew(self) -> None:
+        """Forget all that was heard: every member starts counting when next looked at."""
+        self._heard_at.clear()
+        self._heard_here_at.clear()
+
     def forget(self, name: str) -> None:
         """Stop counting for a member."""
         self._heard_at.pop(name, None)
--- a/src/crankseam/controllers/configuration_follower.py
+++ b/src/crankseam/controllers/configuration_follower.py
@@ -39,7 +39,7 @@
     async def run(self) -> None:
         """Follow until cancelled."""
         while True:
-            if not self._agent.membership.is_first_of_region():
+            if not self._agent.membership.order.is_first_of_region():
                 await asyncio.sleep(IDLE_POLL_SECONDS)
                 continue
             try:
--- a/src/crankseam/controllers/founding.py
+++ b/src/crankseam/controllers/founding.py
@@ -72,7 +72,7 @@
                 return
         else:
             record = FoundingRecord(0, [])
-        if not self._agent.membership.is_first_of_region():
+        if not self._agent.membership.order.is_first_of_region():
             return
         await self._found(record, held.mod_revision if held else 0, lost)
 
--- a/src/crankseam_experiments/hollow_fleet.py
+++ b/src/crankseam_experiments/hollow_fleet.py
@@ -14,7 +14,7 @@
 import psutil
 
 from crankseam.clients.key_value import KeyValueClient
-from crankseam.cluster.membership import RELAY_PURPOSE, RELAYS_PER_ZONE
+from crankseam.cluster.zone_order import RELAY_PURPOSE, RELAYS_PER_ZONE
 from crankseam.config.changes import apply_plan, make_plan
 from crankseam.config.kinds import BackEnd, Document, Limit, SamplerPool
 from crankseam.records.slots import rank
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -176,7 +176,7 @@
         agents.append(agent)
     await eventually(lambda: all(len(a.agent.digest.alive()) == 8 for a in agents))
     zone = [a for a in agents if a.agent.settings.zone == "zone-0"]
-    relays = {member.name for member in agents[0].agent.membership.relays("zone-0")}
+    relays = {member.name for member in agents[0].agent.membership.order.relays("zone-0")}
     victim = next(a for a in zone if a.agent.settings.name not in relays)
     agents.remove(victim)
     await victim.close()
@@ -185,3 +185,15 @@
         lambda: all(a.agent.digest.member(name).status == MemberStatus.DEAD for a in agents),
         "all know the death",
     )
+
+
+def test_a_node_that_becomes_a_relay_again_does_not_count_old_silence():
+    """Found in review: what was heard an hour ago, as a relay, made every member look dead."""
+    now = [0.0]
+    judge = LivenessJudge(dead_after=3.0, own_pause=100.0, clock=lambda: now[0])
+    judge.hear(["a"])
+    judge.start_anew()  # no relay for a while
+    now[0] = 50.0
+    assert judge.silent(["a"]) == []
+    now[0] = 54.0
+    assert judge.silent(["a"]) == ["a"]
