Hold pool limits for samples; every answer names a decision

Cause (review against the issue): a Limit whose target is a pool was not held, and a refusal before any back end was considered named no decision. Tests failing before: test_a_limit_on_the_pool_holds_for_samples, decision of a shed request in test_not_run_is_committed_before_it_is_told.

--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -25,7 +25,7 @@
 from crankseam.controllers.replica_placement import ReplicaPlacementController
 from crankseam.controllers.retention import RetentionController
 from crankseam.controllers.weights import WeightsController
-from crankseam.decisions import DecisionLog
+from crankseam.decisions import Decision, DecisionLog
 from crankseam.errors import Problem
 from crankseam.metrics import NodeMetrics
 from crankseam.operator_api import OperatorApi
@@ -126,7 +126,12 @@
         self.executors = StreamExecutors(agent, sampler)
         lengths = LengthEstimator()
         generator = SampleGenerator(
-            self.executors, self.router, self.decisions, agent.may_send_work, lengths
+            self.executors,
+            self.router,
+            self.decisions,
+            agent.may_send_work,
+            lengths,
+            self.limits,
         )
         self.rollout = RolloutService(agent, generator, lengths)
         claims = self.claims = RequestClaims(agent)
@@ -188,13 +193,11 @@
         try:
             answer = await self._chain(context)
         except Problem as problem:
-            self.metrics.count_problem(problem)
-            return problem_response(problem, self._answer_headers(context))
+            return self._answer_problem(context, problem)
         except Exception:
             log.exception("request failed", extra={"request": context.request_id})
             internal = Problem("this node failed on the request; it may have run")
-            self.metrics.count_problem(internal)
-            return problem_response(internal, self._answer_headers(context))
+            return self._answer_problem(context, internal)
         finally:
             self.metrics.observe_request(context.service_name, time.monotonic() - started)
         if answer.response is not None:
@@ -202,6 +205,24 @@
         headers = {**answer.headers, **self._answer_headers(context)}
         return web.Response(status=answer.status, headers=headers, body=answer.body)
 
+    def _answer_problem(self, context: RequestContext, problem: Problem) -> web.Response:
+        """Tell the caller; a refusal that no choice of a back end led to is a decision too."""
+        self.metrics.count_problem(problem)
+        if context.decision is None:
+            context.decision = Decision(
+                decision_id=self.decisions.new_id(),
+                kind="refuse",
+                subject=context.request_id,
+                node=self.settings.name,
+                revision=context.snapshot.revision if context.snapshot else 0,
+                at="",
+                reason=str(problem),
+                outcome=problem.outcome,
+                aliases=[context.idempotency_key] if context.idempotency_key else [],
+            )
+            self.decisions.record(context.decision)
+        return problem_response(problem, self._answer_headers(context))
+
     @staticmethod
     def _answer_headers(context: RequestContext) -> dict[str, str]:
         headers = {REQUEST_ID_HEADER: context.request_id}
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -9,7 +9,8 @@
 
 from crankseam.backoff import Backoff
 from crankseam.clients.sampler import CompletionRequest
-from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
+from crankseam.config.kinds import BackEnd, Limit, SamplerPool, Trainer
+from crankseam.controllers.limit_shares import LimitShareController
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
 from crankseam.rollout.executors import StreamExecutors
@@ -65,6 +66,8 @@
     pool: SamplerPool
     trainer_version: int
     revision: int
+    limit: Limit | None = None
+    """The limit that bounds the pool, if any."""
 
     @property
     def oldest_allowed(self) -> int:
@@ -93,8 +96,10 @@
         decisions: DecisionLog,
         may_send: Callable[[], bool],
         lengths: LengthEstimator,
+        shares: LimitShareController,
     ) -> None:
         self._lengths = lengths
+        self._shares = shares
         self._executors = executors
         self._may_send = may_send
         self._router = router
@@ -131,7 +136,17 @@
             if partial.segments and oldest_version(partial.segments) < wanted.oldest_allowed:
                 partial.clear()  # carried on, it could not be delivered
             bound = self._bound(request, partial, wanted, is_long)
-            if await self._attempt(sampler, step, request, wanted, partial, priority(), bound):
+            if wanted.limit is not None and not await self._shares.acquire(wanted.limit):
+                await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
+                continue
+            try:
+                is_whole = await self._attempt(
+                    sampler, step, request, wanted, partial, priority(), bound
+                )
+            finally:
+                if wanted.limit is not None:
+                    self._shares.share_of(wanted.limit).release()
+            if is_whole:
                 return SampleResult(
                     trainer=wanted.trainer.name,
                     step=step,
--- a/src/crankseam/rollout/service.py
+++ b/src/crankseam/rollout/service.py
@@ -155,7 +155,8 @@
         snapshot = self._agent.lease.snapshot
         trainer = snapshot.trainers[trainer_name]
         pool = snapshot.pools[trainer.pool]
-        return GenerationTarget(trainer, pool, trainer_version, snapshot.revision)
+        limit = snapshot.limit_for(pool.name)
+        return GenerationTarget(trainer, pool, trainer_version, snapshot.revision, limit)
 
     # --- streaming
 
--- a/tests/requests/test_app_requests.py
+++ b/tests/requests/test_app_requests.py
@@ -86,6 +86,9 @@
     status, problem, headers = await book(session, cluster.url(0), key, request_id=attempt)
     assert (status, problem["outcome"]) == (503, "not_run")
     assert int(headers["Retry-After"]) >= 1
+    decision_id = headers["Crankseam-Decision"]
+    [decision] = await cluster.nodes[0].decisions.find(decision_id)
+    assert decision.kind == "refuse" and "stopping" in decision.reason
     # The same attempt wakes on another node.
     status, problem, _ = await book(session, cluster.url(1), key, request_id=attempt)
     assert problem["outcome"] == "not_run"
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -6,7 +6,7 @@
 import msgspec
 import pytest
 
-from crankseam.config.kinds import BackEnd, SamplerPool, Trainer
+from crankseam.config.kinds import BackEnd, Limit, SamplerPool, Trainer
 from crankseam.identifiers import date_of, new_dated_id
 from crankseam.rollout import executors
 from crankseam.rollout.cursor import format_cursor, parse_cursor
@@ -209,6 +209,32 @@
     assert sum(s.tokens_made for s in rollout.samplers) == sum(len(r.tokens) for r in results)
 
 
+async def test_a_limit_on_the_pool_holds_for_samples(rollout):
+    snapshot = rollout.cluster.nodes[0].agent.lease.snapshot
+    limit = Limit(kind="Limit", name="pool-limit", target="pool", max_in_flight=2)
+    documents = rollout.cluster.platform.documents()
+    await rollout.cluster.platform.apply(
+        [*documents, limit, snapshot.pools["pool"], snapshot.trainers["trainer"]]
+    )
+    await eventually(
+        lambda: all(n.agent.lease.snapshot.revision == 3 for n in rollout.cluster.nodes.values())
+    )
+    highest = 0
+
+    async def watch():
+        nonlocal highest
+        while True:
+            highest = max(highest, sum(len(s._running) for s in rollout.samplers))
+            await asyncio.sleep(0.001)
+
+    watcher = asyncio.create_task(watch())
+    await rollout.open(0)
+    results = await rollout.stream(0)
+    watcher.cancel()
+    assert len(results) == STEP_SAMPLES
+    assert highest <= 2
+
+
 async def test_malformed_openings_are_typed_problems(rollout):
     url = f"{rollout.cluster.url(0)}/trainers/trainer/steps"
     for body in (b"", b"{}", b"[" * 10_000, b'{"step":1,"opened_at_ms":0,"samples":[]}', b"\xff"):
