A state machine over real nodes; a planned stop lingers until callers are quiet

Cause: the state machine cut a request off at a planned stop: a node that had drained closed its connections at once, also one on which a request was on its way. Ruled out: the request being refused a connection (that is no cut). Change: answers of a stopping node close their connection; after draining it stops listening, and answers what still comes until half a second was quiet. Left: a request that arrives in the very moment an idle connection is closed is still cut, as with any HTTP/1.1 server; the caller's key makes asking again safe.

--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -50,6 +50,8 @@
 
 SAMPLER_SILENCE_SECONDS = 10.0
 DRAIN_POLL_SECONDS = 0.05
+LINGER_SECONDS = 0.5
+MAX_LINGER_SECONDS = 5.0
 BACK_END_CONNECTIONS = 1000
 
 
@@ -73,6 +75,7 @@
         self.admission = AdmissionFilter(settings.max_requests)
         self.caller_port = 0
         self._stopping = False
+        self._last_request = 0.0
 
     # --- start
 
@@ -88,7 +91,7 @@
         await self._bind_agent()
         self._build(app)
         await self._runner.setup()
-        site = web.TCPSite(
+        self._site = site = web.TCPSite(
             self._runner,
             self.settings.listen_host,
             self.settings.caller_port,
@@ -177,11 +180,15 @@
 
     @web.middleware
     async def _answer_problems(self, request: web.Request, handler) -> web.StreamResponse:  # type: ignore[no-untyped-def]
+        self._last_request = time.monotonic()
         try:
-            return await handler(request)
+            response = await handler(request)
         except Problem as problem:
             self.metrics.count_problem(problem)
-            return problem_response(problem, {})
+            response = problem_response(problem, {})
+        if self._stopping:
+            response.force_close()  # the caller's next request must find another node
+        return response
 
     async def _handle_service(self, request: web.Request) -> web.StreamResponse:
         context = RequestContext(
@@ -250,10 +257,29 @@
                 await self._drain()
         except TimeoutError:
             log.warning("planned stop cut short", extra={"running": self.admission.running})
+        self._drained_at = time.monotonic()
+        await self._stop_listening()
         await self.decisions.flush()
         log.info("planned stop ends", extra={"running": self.admission.running})
         await self.close()
 
+    async def _stop_listening(self) -> None:
+        """Refuse new connections, and answer what still comes on open ones until they are quiet.
+
+        Closing at once would cut off a request that is on its way on a kept-alive connection.
+        """
+        await self._site.stop()
+        try:
+            async with asyncio.timeout(MAX_LINGER_SECONDS):
+                while not self._is_quiet():  # noqa: ASYNC110 - the passing of time decides
+                    await asyncio.sleep(DRAIN_POLL_SECONDS)
+        except TimeoutError:
+            log.info("callers kept sending to a node that stops")
+
+    def _is_quiet(self) -> bool:
+        newest = max(self._last_request, self._drained_at)
+        return time.monotonic() - newest >= LINGER_SECONDS
+
     async def _drain(self) -> None:
         while not self._is_drained():  # noqa: ASYNC110 - counters, not an event, decide
             await asyncio.sleep(DRAIN_POLL_SECONDS)
