--- a/src/crankseam_experiments/comparison.py
+++ b/src/crankseam_experiments/comparison.py
@@ -14,6 +14,7 @@
 BASELINE = "least_load"
 ORACLE = "oracle"
 SYSTEM = "crankseam"
+RUNNING = "trainer_idle_fraction_running"
 
 
 async def run_comparison(
@@ -25,7 +26,7 @@
         for policy in spec.policies:
             report = await _run_one(spec, folder, seed, out, policy)
             runs[policy.name].append(report)
-            idle = report["trainer_idle_fraction"]
+            idle = report[RUNNING]
             print(f"seed {seed} {policy.name}: idle {idle}", file=sys.stderr, flush=True)
     policies = {name: _summarise_policy(reports) for name, reports in runs.items()}
     report = {
@@ -38,6 +39,7 @@
         "summary": {
             name: {
                 "idle": policy["trainer_idle_fraction"]["median"],
+                "idle_running": policy[RUNNING]["median"],
                 "staleness": policy["staleness_versions"],
             }
             for name, policy in policies.items()
@@ -70,6 +72,7 @@
 def _summarise_policy(reports: list[dict[str, Any]]) -> dict[str, Any]:
     return {
         "trainer_idle_fraction": _spread([r["trainer_idle_fraction"] or 0.0 for r in reports]),
+        "trainer_idle_fraction_running": _spread([r[RUNNING] or 0.0 for r in reports]),
         "step_seconds_p50": _spread([r["step_seconds"]["p50"] for r in reports]),
         "step_seconds_p99": _spread([r["step_seconds"]["p99"] for r in reports]),
         "staleness_versions": {
@@ -99,7 +102,7 @@
     for other in (BASELINE, ORACLE):
         if SYSTEM in runs and other in runs:
             ratios = [
-                (own["trainer_idle_fraction"] or 0.0) / max(1e-9, its["trainer_idle_fraction"])
+                (own[RUNNING] or 0.0) / max(1e-9, its[RUNNING] or 0.0)
                 for own, its in zip(runs[SYSTEM], runs[other], strict=True)
             ]
             paired[f"{SYSTEM}/{other}"] = _spread(ratios)
--- a/src/crankseam_experiments/plots.py
+++ b/src/crankseam_experiments/plots.py
@@ -80,10 +80,10 @@
     names = list(report["policies"])
     figure, axes = plt.subplots(1, 3, figsize=(14, 4))
     for position, name in enumerate(names):
-        idle = [run["trainer_idle_fraction"] or 0.0 for run in runs[name]]
+        idle = [run["trainer_idle_fraction_running"] or 0.0 for run in runs[name]]
         axes[0].scatter([position] * len(idle), idle)
         axes[0].hlines(
-            report["policies"][name]["trainer_idle_fraction"]["median"],
+            report["policies"][name]["trainer_idle_fraction_running"]["median"],
             position - 0.3,
             position + 0.3,
         )
@@ -91,7 +91,11 @@
         axes[1].bar(position, staleness["p99"])
         busy = report["policies"][name]["busy_fraction"]["median"]
         axes[2].bar(position, busy)
-    titles = ("trainer idle fraction, by seed", "staleness p99, versions", "samplers busy")
+    titles = (
+        "trainer idle fraction after the first step, by seed",
+        "staleness p99, versions",
+        "samplers busy",
+    )
     for axis, title in zip(axes, titles, strict=True):
         axis.set_title(title)
         axis.set_xticks(range(len(names)), names, rotation=20)
--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -231,6 +231,13 @@
     return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
 
 
+def _running_idle(trainer: dict[str, Any]) -> float | None:
+    """Idle share after the first step: the wait for the first one is the same for all."""
+    idle = trainer.get("idle", 0.0) - trainer.get("first_idle", 0.0)
+    total = idle + trainer.get("training", 0.0)
+    return idle / total if total else None
+
+
 def _spread(values: list[float]) -> dict[str, float]:
     return {
         "p50": _percentile(values, 0.5),
@@ -301,6 +308,7 @@
             "p99": _percentile(latencies, 0.99) * 1000,
         },
         "trainer_idle_fraction": trainer.get("idle", 0.0) / total if total else None,
+        "trainer_idle_fraction_running": _running_idle(trainer),
         "staleness_versions": _spread(trainer.get("staleness", [])),
         "staleness_seconds": _spread(_staleness_seconds(evidence)),
         "tokens": run.sampler_totals,
--- a/src/crankseam_standins/trainer.py
+++ b/src/crankseam_standins/trainer.py
@@ -54,6 +54,8 @@
     """Times of one run, in seconds."""
 
     idle: float = 0.0
+    first_idle: float = 0.0
+    """The part of it before the first step, which nothing can be trained on meanwhile."""
     training: float = 0.0
     step_seconds: list[float] = field(default_factory=list)
     received: int = 0
@@ -100,7 +102,10 @@
                 self._collect_ahead(step)
                 waited_from = time.monotonic()
                 await self._collecting.pop(step)
-                self.report.idle += time.monotonic() - waited_from
+                waited = time.monotonic() - waited_from
+                self.report.idle += waited
+                if step == self._first_step:
+                    self.report.first_idle = waited
                 self._collect_ahead(step + 1)
                 # One turn, so that the steps ahead are asked for before training begins.
                 await asyncio.sleep(0)
