--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -14,7 +14,7 @@
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
 from crankseam.rollout.executors import StreamExecutors
-from crankseam.rollout.lanes import lane_of, lane_rule
+from crankseam.rollout.lanes import LaneRule, lane_of, lane_rule
 from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import (
     SampleRequest,
@@ -23,7 +23,7 @@
     append_tokens,
     oldest_version,
 )
-from crankseam.routing import Router
+from crankseam.routing import Choice, Router
 
 log = logging.getLogger(__name__)
 
@@ -34,12 +34,22 @@
 
 
 @dataclass
-class PartialSample:
-    """Tokens generated so far, with the versions that made them."""
+class SampleJob:
+    """A sample on its way: what was asked for, and the tokens so far with their versions.
 
+    Earlier steps run first at a sampler, so the step is also the priority.
+    """
+
+    step: int
+    request: SampleRequest
     tokens: list[int] = field(default_factory=list)
     segments: list[Segment] = field(default_factory=list)
     samplers: list[str] = field(default_factory=list)
+    is_whole: bool = False
+
+    def name(self, trainer: str) -> str:
+        """`trainer/step/index`, unique and the same for each attempt."""
+        return f"{trainer}/{self.step}/{self.request.index}"
 
     def add(self, sampler: str, outcome: CompletionOutcome) -> None:
         """Take the tokens of one more stream, which went on from what is here."""
@@ -50,13 +60,32 @@
             elif not self.segments:
                 self.segments.append(Segment(version, 0, 0))
         self.tokens.extend(outcome.tokens)
+        ended = outcome.finished and not outcome.cut_by_bound
+        self.is_whole = ended or len(self.tokens) >= self.request.max_tokens
+
+    def oldest_version(self) -> float:
+        """The oldest version that made a token so far; infinite before the first."""
+        return oldest_version(self.segments) if self.segments else float("inf")
 
-    def clear(self) -> None:
+    def start_again(self) -> None:
         """Start from the prompt again."""
         self.tokens.clear()
         self.segments.clear()
         self.samplers.clear()
 
+    def result(self, trainer: str, generation: int, decision_id: str) -> SampleResult:
+        """The whole sample as it is committed."""
+        return SampleResult(
+            trainer=trainer,
+            step=self.step,
+            index=self.request.index,
+            generation=generation,
+            tokens=self.tokens,
+            segments=self.segments,
+            samplers=self.samplers,
+            decision_id=decision_id,
+        )
+
 
 @dataclass(frozen=True)
 class GenerationTarget:
@@ -106,76 +135,65 @@
         self._decisions = decisions
 
     async def generate(
-        self,
-        step: int,
-        request: SampleRequest,
-        generation: int,
-        target: Callable[[], GenerationTarget],
-        priority: Callable[[], int],
+        self, job: SampleJob, generation: int, target: Callable[[], GenerationTarget]
     ) -> SampleResult:
         """Generate until whole.
 
         Args:
             target: asked anew for each attempt, since versions and configuration move on.
-            priority: asked anew for each attempt; lower runs first.
         """
-        partial = PartialSample()
         backoff = Backoff(WAIT_FOR_SAMPLER_BASE, WAIT_FOR_SAMPLER_CAP)
         while True:
             wanted = target()
-            if not self._may_send():
-                await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
-                continue
-            is_long = self._is_long(request, partial)
-            decision = self._choose(step, request, wanted, is_long)
-            if decision.choice is None:
+            decision = await self._attempt_within_limit(job, wanted)
+            if decision is None:
                 await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
                 continue
             backoff.reset()
-            sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
-            if partial.segments and oldest_version(partial.segments) < wanted.oldest_allowed:
-                partial.clear()  # carried on, it could not be delivered
-            bound = self._bound(request, partial, wanted, is_long)
-            if wanted.limit is not None and not await self._shares.acquire(wanted.limit):
-                await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
-                continue
-            try:
-                is_whole = await self._attempt(
-                    sampler, step, request, wanted, partial, priority(), bound
-                )
-            finally:
-                if wanted.limit is not None:
-                    self._shares.share_of(wanted.limit).release()
-            if is_whole:
-                return SampleResult(
-                    trainer=wanted.trainer.name,
-                    step=step,
-                    index=request.index,
-                    generation=generation,
-                    tokens=partial.tokens,
-                    segments=partial.segments,
-                    samplers=partial.samplers,
-                    decision_id=decision.decision_id,
-                )
-
-    def _is_long(self, request: SampleRequest, partial: PartialSample) -> bool:
+            if job.is_whole:
+                return job.result(wanted.trainer.name, generation, decision.decision_id)
+
+    async def _attempt_within_limit(
+        self, job: SampleJob, wanted: GenerationTarget
+    ) -> Decision | None:
+        """One attempt, if the pool's limit has room; None if nothing could be started."""
+        if wanted.limit is None:
+            return await self._choose_and_attempt(job, wanted)
+        if not await self._shares.acquire(wanted.limit):
+            return None
+        try:
+            return await self._choose_and_attempt(job, wanted)
+        finally:
+            self._shares.share_of(wanted.limit).release()
+
+    async def _choose_and_attempt(
+        self, job: SampleJob, wanted: GenerationTarget
+    ) -> Decision | None:
+        if not self._may_send():
+            return None
+        if job.oldest_version() < wanted.oldest_allowed:
+            job.start_again()  # carried on, it could not be delivered
+        is_long = self._is_long(job)
+        decision = self._choose(job, wanted, is_long)
+        if decision.choice is None:
+            return None
+        self._decisions.record(decision)
+        sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
+        await self._attempt(job, sampler, wanted, self._bound(job, wanted, is_long))
+        return decision
+
+    def _is_long(self, job: SampleJob) -> bool:
         threshold = self._lengths.long_from()
-        proven = threshold is not None and len(partial.tokens) >= threshold
-        return proven or self._lengths.is_expected_long(request)
+        proven = threshold is not None and len(job.tokens) >= threshold
+        return proven or self._lengths.is_expected_long(job.request)
 
-    def _bound(
-        self,
-        request: SampleRequest,
-        partial: PartialSample,
-        wanted: GenerationTarget,
-        is_long: bool,
-    ) -> int:
+    def _bound(self, job: SampleJob, wanted: GenerationTarget, is_long: bool) -> int:
         """Tokens to ask for now: up to where the sample proves long and is to be moved."""
-        remaining = request.max_tokens - len(partial.tokens)
+        remaining = job.request.max_tokens - len(job.tokens)
         threshold = self._lengths.long_from()
         if is_long or threshold is None or not lane_of(wanted.pool):
             return remaining
-        return max(1, min(remaining, threshold - len(partial.tokens)))
+        return max(1, min(remaining, threshold - len(job.tokens)))
 
     def has_eligible(self, wanted: GenerationTarget) -> bool:
         """Whether any sampler could take a sample now, were it not full."""
@@ -183,14 +201,24 @@
         choice = self._router.choose(pool.name, pool.samplers, _version_rule(wanted))
         return choice.back_end is not None
 
-    def _choose(
-        self, step: int, request: SampleRequest, wanted: GenerationTarget, is_long: bool
-    ) -> Decision:
+    def _choose(self, job: SampleJob, wanted: GenerationTarget, is_long: bool) -> Decision:
+        choice = self._choose_sampler(wanted, lane_rule(wanted.pool, is_long))
+        return Decision(
+            decision_id=self._decisions.new_id(),
+            kind="sample",
+            subject=job.name(wanted.trainer.name),
+            node=self._decisions.node,
+            revision=wanted.revision,
+            at="",
+            reason=REASON_LONG if is_long else REASON,
+            choice=choice.back_end.name if choice.back_end else None,
+            candidates=choice.candidates,
+        )
+
+    def _choose_sampler(self, wanted: GenerationTarget, lanes: LaneRule) -> Choice:
         pool = wanted.pool
         version_rule = _version_rule(wanted)
 
-        lanes = lane_rule(pool, is_long)
-
         def eligible(candidate: Candidate) -> str | None:
             in_flight = self._router.view(f"{pool.name}/{candidate.name}").in_flight
             if in_flight >= lanes.places(candidate.name):
@@ -198,44 +226,20 @@
             return version_rule(candidate)
 
         if pool.routing == "round_robin":
-            choice = self._router.take_turns(pool.name, pool.samplers, eligible)
-        else:
-            choice = self._router.choose(pool.name, pool.samplers, eligible, prefers=lanes.prefers)
-        subject = f"{wanted.trainer.name}/{step}/{request.index}"
-        decision = Decision(
-            decision_id=self._decisions.new_id(),
-            kind="sample",
-            subject=subject,
-            node=self._decisions.node,
-            revision=wanted.revision,
-            at="",
-            reason=REASON_LONG if is_long else REASON,
-            choice=choice.back_end.name if choice.back_end else None,
-            candidates=choice.candidates,
-        )
-        if decision.choice is not None:
-            self._decisions.record(decision)
-        return decision
+            return self._router.take_turns(pool.name, pool.samplers, eligible)
+        return self._router.choose(pool.name, pool.samplers, eligible, prefers=lanes.prefers)
 
     async def _attempt(
-        self,
-        sampler: BackEnd,
-        step: int,
-        request: SampleRequest,
-        wanted: GenerationTarget,
-        partial: PartialSample,
-        priority: int,
-        bound: int,
-    ) -> bool:
-        """Generate at most `bound` tokens on one sampler; False if the sample is not whole then
-        (what came is kept in `partial`)."""
+        self, job: SampleJob, sampler: BackEnd, wanted: GenerationTarget, bound: int
+    ) -> None:
+        """Generate at most `bound` tokens on one sampler; what came is kept in the job."""
         target = f"{wanted.pool.name}/{sampler.name}"
         completion = CompletionRequest(
-            request_id=f"{wanted.trainer.name}/{step}/{request.index}",
-            prompt=request.prompt,
+            request_id=job.name(wanted.trainer.name),
+            prompt=job.request.prompt,
             max_tokens=bound,
-            prior_tokens=list(partial.tokens),
-            priority=priority,
+            prior_tokens=list(job.tokens),
+            priority=job.step,
         )
         self._router.start(target)
         try:
@@ -244,11 +248,7 @@
             self._router.finish(target)
         if outcome.refused or outcome.broke:
             self._router.fail_connection(target)
-        if outcome.refused:
-            return False
         if outcome.broke:
             log.info("sample broke off", extra={"sampler": sampler.name, "error": outcome.broke})
-        partial.add(sampler.name, outcome)
-        if outcome.cut_by_bound:
-            return len(partial.tokens) >= request.max_tokens
-        return outcome.finished
+        if not outcome.refused:
+            job.add(sampler.name, outcome)
--- a/src/crankseam/rollout/step_run.py
+++ b/src/crankseam/rollout/step_run.py
@@ -11,7 +11,7 @@
 from crankseam.backoff import Backoff
 from crankseam.errors import RecordError, RecordExpired
 from crankseam.rollout.cursor import format_cursor
-from crankseam.rollout.generation import GenerationTarget, SampleGenerator
+from crankseam.rollout.generation import GenerationTarget, SampleGenerator, SampleJob
 from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import (
     OpenStep,
@@ -142,11 +142,9 @@
         try:
             async with self._scheduler.place(self._order(request)):
                 result = await self._generator.generate(
-                    self.opening.step,
-                    request,
+                    SampleJob(self.opening.step, request),
                     self._generations.get(request.index, 0),
                     lambda: self._target(self.trainer_version),
-                    lambda: self.opening.step,
                 )
             self._lengths.learn(request.group, len(result.tokens))
             await self._commit(result)
