Pass requests on to their service's home region

Cause (review): a node outside a service's home region claimed in its own region's records, so the same key could run once in each region. Ways weighed: records across regions (a round trip over the sea for each request, and none in a cut); refusing (callers would have to know regions). Change: such a node passes the request on, once; with no home node in reach it answers at once, with Retry-After, and unknown: an earlier attempt may have run.

--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -35,6 +35,7 @@
 from crankseam.requests.claim import ClaimFilter, RefusalFilter, RequestClaims
 from crankseam.requests.context import RequestContext, build_chain
 from crankseam.requests.forward import Forwarder, trace_first_byte
+from crankseam.requests.home_region import HomeRegionFilter
 from crankseam.requests.identify import ConfigurationFilter, DeadlineFilter, IdentifyFilter
 from crankseam.requests.limits import AdmissionFilter, ServiceLimitFilter
 from crankseam.rollout.executors import StreamExecutors
@@ -145,6 +146,7 @@
                 DeadlineFilter(),
                 RefusalFilter(claims),
                 ConfigurationFilter(agent.lease),
+                HomeRegionFilter(agent, self._session),
                 self.admission,
                 ServiceLimitFilter(self.limits),
                 ClaimFilter(claims),
--- a/src/crankseam/requests/claim.py
+++ b/src/crankseam/requests/claim.py
@@ -282,6 +282,10 @@
         is_safe = context.service is not None and not context.must_not_repeat
         if problem.outcome != OUTCOME_NOT_RUN or is_safe or context.idempotency_key is None:
             return
+        if context.is_foreign:
+            # Its record is out of reach: an earlier attempt may have run at home.
+            problem.outcome = OUTCOME_UNKNOWN
+            return
         try:
             agreed = await self._claims.refuse(context)
         except RecordError:
--- a/src/crankseam/requests/context.py
+++ b/src/crankseam/requests/context.py
@@ -47,6 +47,8 @@
     must_not_repeat: bool = False
     claim_token: str = field(default_factory=lambda: secrets.token_hex(8))
     """Tells this handling of the request from any other, also of the same attempt."""
+    is_foreign: bool = False
+    """Whether the service's home, and so the request's record, is in another region."""
     dispatched: bool = False
     answer_started: bool = False
     """Whether a part of the answer has been passed on to the caller."""
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -22,25 +22,11 @@
 from crankseam.decisions import Decision, DecisionLog
 from crankseam.errors import DeadlineExceeded, OutcomeUnknown, Unavailable
 from crankseam.requests.context import Answer, RequestContext
+from crankseam.requests.headers import end_to_end_headers
 from crankseam.routing import Choice, Router
 
 log = logging.getLogger(__name__)
 
-HOP_HEADERS = frozenset(
-    {
-        "connection",
-        "content-length",
-        "host",
-        "keep-alive",
-        "te",
-        "trailer",
-        "transfer-encoding",
-        "upgrade",
-        "content-encoding",
-        "date",
-        "server",
-    }
-)
 CHUNK_BYTES = 64 * 1024
 MIN_REMAINING_SECONDS = 0.005
 """A request with less time than this left is not forwarded any more."""
@@ -157,14 +143,14 @@
             trace_request_ctx=context,
         )
         async with request as upstream:
-            headers = {k: v for k, v in upstream.headers.items() if k.lower() not in HOP_HEADERS}
+            headers = end_to_end_headers(upstream.headers)
             if context.must_not_repeat:
                 return Answer(upstream.status, headers, await upstream.read())
             return await self._stream(context, upstream, headers)
 
     @staticmethod
     def _headers(context: RequestContext, remaining: float) -> dict[str, str]:
-        headers = {k: v for k, v in context.http.headers.items() if k.lower() not in HOP_HEADERS}
+        headers = end_to_end_headers(context.http.headers)
         headers[REQUEST_ID_HEADER] = context.request_id
         headers[DEADLINE_HEADER] = str(int(remaining * 1000))
         if context.idempotency_key:
--- /dev/null
+++ b/src/crankseam_experiments/report.py
@@ -0,0 +1,120 @@
+"""Turns one run's evidence and the clients' own figures into its report."""
+
+from __future__ import annotations
+
+import dataclasses
+import statistics
+from typing import TYPE_CHECKING, Any
+
+from crankseam_experiments.auditor import Evidence, Finding, audit
+
+if TYPE_CHECKING:
+    from crankseam_experiments.runner import ExperimentRun
+
+
+def _percentile(values: list[float], fraction: float) -> float:
+    ordered = sorted(values)
+    if not ordered:
+        return 0.0
+    return ordered[min(len(ordered) - 1, int(len(ordered) * fraction))]
+
+
+def _running_idle(trainer: dict[str, Any]) -> float | None:
+    """Idle share after the first step: the wait for the first one is the same for all."""
+    idle = trainer.get("idle", 0.0) - trainer.get("first_idle", 0.0)
+    total = idle + trainer.get("training", 0.0)
+    return idle / total if total else None
+
+
+def _spread(values: list[float]) -> dict[str, float]:
+    return {
+        "p50": _percentile(values, 0.5),
+        "p99": _percentile(values, 0.99),
+        "max": max(values, default=0.0),
+    }
+
+
+def _staleness_seconds(evidence: Evidence) -> list[float]:
+    """For each sample: when it was trained on, less when its oldest version was replaced."""
+    replaced_at = {
+        entry["version"] - 1: entry["at"]
+        for entry in evidence.trainer
+        if entry["event"] == "version"
+    }
+    trained_at = {e["step"]: e["at"] for e in evidence.trainer if e["event"] == "trained"}
+    seconds = []
+    for entry in evidence.trainer:
+        if entry["event"] != "sample" or entry["step"] not in trained_at:
+            continue
+        oldest = min(segment[0] for segment in entry["segments"])
+        at = trained_at[entry["step"]]
+        seconds.append(max(0.0, at - replaced_at.get(oldest, at)))
+    return seconds
+
+
+def _summarise(run: ExperimentRun, findings: list[Finding], evidence: Evidence) -> dict[str, Any]:
+    told = [e for e in evidence.callers if e["event"] == "final"]
+    samples = [(e["step"], e["index"]) for e in evidence.trainer if e["event"] == "sample"]
+    asked = sum(e["samples"] for e in evidence.trainer if e["event"] == "opened")
+    answered = sum(e["outcome"] == "answered" for e in told)
+    return {
+        "requests_sent": len(told),
+        "requests_answered": answered,
+        "requests_unanswered": len(told) - answered,
+        "samples_asked": asked,
+        "samples_delivered": len(set(samples)),
+        "duplicates": len(samples) - len(set(samples)),
+        "lost": asked - len(set(samples)),
+        "violations": sum(finding.violations for finding in findings),
+    }
+
+
+def build_report(run: ExperimentRun, codes: dict[str, int]) -> dict[str, Any]:
+    """The report of a run that has ended.
+
+    Args:
+        codes: exit codes of the nodes at their planned stop.
+    """
+    evidence = run.collect_evidence()
+    findings = audit(evidence)
+    summary = _summarise(run, findings, evidence)
+    trainer = run.client_report("trainer")
+    caller = run.client_report("caller")
+    latencies = caller.get("latencies", [])
+    total = trainer.get("idle", 0.0) + trainer.get("training", 0.0)
+    completed = summary["lost"] == 0 and all(run.clients_done.get(name) for name in run.clients)
+    return {
+        "name": run.spec.name,
+        "seed": run.seed,
+        "time_scale": run.spec.samplers.time_scale,
+        "summary": summary,
+        "promises": [dataclasses.asdict(finding) for finding in findings],
+        "faults": run.injected,
+        "recovery_seconds": {
+            "count": len(run.recovery_seconds),
+            "median": statistics.median(run.recovery_seconds) if run.recovery_seconds else None,
+            "max": max(run.recovery_seconds, default=None),
+        },
+        "outcomes": caller.get("outcomes", {}),
+        "app_latency_ms": {
+            "p50": _percentile(latencies, 0.5) * 1000,
+            "p99": _percentile(latencies, 0.99) * 1000,
+        },
+        "trainer_idle_fraction": trainer.get("idle", 0.0) / total if total else None,
+        "trainer_idle_fraction_running": _running_idle(trainer),
+        "staleness_versions": _spread(trainer.get("staleness", [])),
+        "staleness_seconds": _spread(_staleness_seconds(evidence)),
+        "tokens": run.sampler_totals,
+        "step_seconds": {
+            "p50": _percentile(trainer.get("step_seconds", []), 0.5),
+            "p99": _percentile(trainer.get("step_seconds", []), 0.99),
+        },
+        "trainer_reconnects": trainer.get("reconnects"),
+        "control": run.control,
+        "node_exit_codes": codes,
+        "clients_done": run.clients_done,
+        "passed": completed
+        and summary["violations"] == 0
+        and summary["duplicates"] == 0
+        and all(code == 0 for code in codes.values()),
+    }
--- a/tests/support/harness.py
+++ b/tests/support/harness.py
@@ -167,8 +167,9 @@
         self.nodes: dict[int, Node] = {}
         self.seeds: list[str] = []
 
-    async def start_node(self, index: int) -> Node:
-        node = Node(settings_for(index, self.platform, list(self.seeds)))
+    async def start_node(self, index: int, **extra) -> Node:
+        settings = settings_for(index, self.platform, list(self.seeds))
+        node = Node(settings.model_copy(update=extra))
         await node.start()
         self.nodes[index] = node
         self.seeds.append(node.agent.own.peer_address)
