Ask a back end itself where its zone's watchers cannot be heard

Its zone was cut off from the other nodes, its own servers were not; the leaving flag travels with the zone's digest. Ruled out: slow spreading (all 5 arrivals came through nodes outside the cut), a paused node (none at that time). Ways weighed: watchers in every zone (10 times the polling, always); treating such back ends as gone (a cut between nodes would take good servers out). Test failing before: test_a_back_end_that_leaves_in_a_cut_zone_gets_no_work.

--- a/src/crankseam/cluster/digest.py
+++ b/src/crankseam/cluster/digest.py
@@ -67,6 +67,7 @@
         self._reports: dict[tuple[str, str], _Versioned[BackEndReport]] = {}
         self._watchers: dict[str, set[str]] = {}
         self._sets: dict[int, _Versioned[ReplicaSet]] = {}
+        self._pulses: dict[str, _Versioned[tuple[str, int]]] = {}
         self._listeners: list[Callable[[], None]] = []
         self.alive_version = 0
         """Raised when a member comes, goes or changes its addresses; not by reports or revisions,
@@ -125,6 +126,20 @@
         self._sets[replica_set.slot] = _Versioned(replica_set, self._bump(), self._clock())
         return True
 
+    def learn_pulse(self, zone: str, pulse: int) -> None:
+        """Take a zone's newer pulse: what else is known of the zone is as fresh as that."""
+        known = self._pulses.get(zone)
+        if known is None or known.item[1] < pulse:
+            self._pulses.pop(zone, None)
+            self._pulses[zone] = _Versioned((zone, pulse), self._bump(), self._clock())
+
+    def zone_silence(self, zone: str) -> float:
+        """Seconds since news of the zone came; 0 for a zone that no node is in."""
+        known = self._pulses.get(zone)
+        if known is not None:
+            return self._clock() - known.changed_at
+        return float("inf") if zone in self.zones() else 0.0
+
     def learn(self, entries: Entries) -> None:
         """Take all entries of another node's table."""
         for member in entries.members:
@@ -133,6 +148,8 @@
             self.learn_report(report)
         for replica_set in entries.replica_sets:
             self.learn_replica_set(replica_set)
+        for zone, pulse in entries.pulses.items():
+            self.learn_pulse(zone, pulse)
 
     # --- telling others
 
@@ -151,6 +168,8 @@
             reports = _newer(self._reports, version)
             entries.back_ends = [report for report in reports if zone in (None, report.zone)]
             entries.replica_sets = list(_newer(self._sets, version))
+            pulses = _newer(self._pulses, version)
+            entries.pulses = {name: pulse for name, pulse in pulses if zone in (None, name)}
         return entries
 
     # --- lookups
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -12,6 +12,7 @@
 import msgspec
 from aiohttp import web
 
+from crankseam.back_end_probe import BackEndProbe
 from crankseam.clients.key_value import KeyValueClient
 from crankseam.clients.sampler import SamplerClient
 from crankseam.cluster.agent import ClusterAgent
@@ -128,6 +129,10 @@
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
         sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
         self.executors = StreamExecutors(agent, sampler)
+        timing = self.settings.timing
+        probe = BackEndProbe(
+            self._session, agent.digest, timing.heartbeat_interval, timing.peer_timeout
+        )
         lengths = LengthEstimator()
         generator = SampleGenerator(
             self.executors,
@@ -136,6 +141,7 @@
             agent.may_send_work,
             lengths,
             self.limits,
+            probe,
         )
         self.rollout = RolloutService(agent, generator, lengths)
         claims = self.claims = RequestClaims(agent)
@@ -151,7 +157,7 @@
                 ServiceLimitFilter(self.limits),
                 ClaimFilter(claims),
             ],
-            Forwarder(self._session, self.router, self.decisions, agent.may_send_work),
+            Forwarder(self._session, self.router, self.decisions, agent.may_send_work, probe),
         )
         app.middlewares.append(self._answer_problems)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -197,6 +197,8 @@
     members: list[Member] = []
     back_ends: list[BackEndReport] = []
     replica_sets: list[ReplicaSet] = []
+    pulses: dict[str, int] = {}
+    """By zone, a number that the zone's first relay raises at each heartbeat."""
 
 
 class ConfigurationReading(msgspec.Struct, array_like=True, frozen=True):
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import web
 
+from crankseam.back_end_probe import BackEndProbe
 from crankseam.backoff import RetryBudget
 from crankseam.config.kinds import BackEnd
 from crankseam.constants import (
@@ -54,7 +55,9 @@
         router: Router,
         decisions: DecisionLog,
         may_send: Callable[[], bool],
+        probe: BackEndProbe,
     ) -> None:
+        self._probe = probe
         self._session = session
         self._may_send = may_send
         self._router = router
@@ -70,6 +73,9 @@
             if choice.back_end is None:
                 detail = "no back end can take the request"
                 raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_NO_BACK_END_SECONDS)
+            if not await self._probe.may_get_work(choice.back_end):
+                tried.add(choice.back_end.name)
+                continue
             try:
                 return await self._attempt(context, choice.back_end)
             except _NotSent:
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from crankseam.back_end_probe import BackEndProbe
 from crankseam.backoff import Backoff
 from crankseam.clients.sampler import CompletionRequest
 from crankseam.config.kinds import BackEnd, Limit, SamplerPool, Trainer
@@ -126,7 +127,9 @@
         may_send: Callable[[], bool],
         lengths: LengthEstimator,
         shares: LimitShareController,
+        probe: BackEndProbe,
     ) -> None:
+        self._probe = probe
         self._lengths = lengths
         self._shares = shares
         self._executors = executors
@@ -177,8 +180,11 @@
         decision = self._choose(job, wanted, is_long)
         if decision.choice is None:
             return None
-        self._decisions.record(decision)
         sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
+        if not await self._probe.may_get_work(sampler):
+            self._router.fail_connection(f"{wanted.pool.name}/{sampler.name}")
+            return None
+        self._decisions.record(decision)
         await self._attempt(job, sampler, wanted, self._bound(job, wanted, is_long))
         return decision
 
--- a/tests/requests/test_app_requests.py
+++ b/tests/requests/test_app_requests.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 
-from crankseam.errors import NoQuorum
+from crankseam.errors import NoQuorum, PeerTimeout
 from crankseam.identifiers import new_dated_id
 from crankseam_standins.app import expected_answer
 from tests.support.harness import eventually, running_cluster
@@ -169,6 +169,31 @@
     assert (await book(session, cluster.url(0), new_dated_id()))[0] == 200
 
 
+async def test_a_back_end_that_leaves_in_a_cut_zone_gets_no_work(cluster, session):
+    """Found by experiments/faults.toml, seed 10: a zone was cut off from the other nodes, but not
+    its back ends; that one of them was leaving did not get through to the nodes outside."""
+    zone_a, outside = cluster.nodes[0], cluster.nodes[1]
+    inside_address = zone_a.agent.own.peer_address
+    for node in cluster.nodes.values():
+        call = node.agent.transport.call
+        is_inside = node is zone_a
+
+        async def cut(address, message, timeout, call=call, is_inside=is_inside):
+            if is_inside or address == inside_address:
+                raise PeerTimeout(address)
+            return await call(address, message, timeout)
+
+        node.agent.transport.call = cut
+        # Only what is known before the zone is taken for dead is looked at here.
+        node.agent.membership._relay._declare_silent_zones = lambda: None
+    cluster.platform.apps["app-0"].faults.leaving = True
+    silence = outside.settings.timing.heartbeat_interval * 2
+    await eventually(lambda: outside.agent.digest.zone_silence("zone-a") > silence)
+    for _ in range(20):
+        assert (await book(session, cluster.url(1), new_dated_id()))[0] == 200
+    assert cluster.platform.accounts["app-0"].lines == []
+
+
 async def test_a_request_survives_its_nodes_death_as_unknown(cluster, session):
     """The record of a claim outlives the claimant; the retry is answered at once."""
     key = new_dated_id()
