Know samplers' weights from orders and reports instead of asking all the time

Cause (docs/CAPACITY.md): the coordinator asked every sampler of the pool for its state twice each half second, some 800 requests a second at 200 samplers, about 24% of a core by the slope of a poll. Change: what an order's answer says is kept; only samplers of unknown state are asked, every 2 s; one that its watchers see at another version is unknown again. Also: slopes of polls and of streams.

--- a/src/crankseam/controllers/weights.py
+++ b/src/crankseam/controllers/weights.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import logging
+import time
 from dataclasses import dataclass, field
 
 import aiohttp
@@ -18,7 +19,6 @@
     OrderRefused,
     SamplerClient,
     SamplerError,
-    SamplerState,
 )
 from crankseam.clients.weight_store import WeightStoreClient, WeightStoreError
 from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
@@ -35,6 +35,10 @@
 
 POLICY_POLL_SECONDS = 0.5
 COORDINATOR_CANDIDATES = 2
+LOOK_SECONDS = 2.0
+"""A sampler whose state is unknown is asked for it this often."""
+REPORT_LAG_SECONDS = 3.0
+"""Reports lag behind; one that came later than this after a switch must show it."""
 LOAD_BACKOFF_BASE = 0.2
 LOAD_BACKOFF_CAP = 3.0
 
@@ -44,11 +48,23 @@
     """What this coordinator did with one sampler for the version under way."""
 
     version: int
+    is_known: bool = False
+    """Whether its state was read, or follows from an order that it carried out."""
+    is_loaded: bool = False
+    is_serving: bool = False
+    looked_at: float = float("-inf")
+    switched_at: float = float("-inf")
     failed_loads: int = 0
     set_aside: str = ""
     backoff: Backoff = field(default_factory=lambda: Backoff(LOAD_BACKOFF_BASE, LOAD_BACKOFF_CAP))
     retry_at: float = 0.0
 
+    def forget_state(self) -> None:
+        """Have the sampler looked at again."""
+        self.is_known = False
+        self.is_loaded = False
+        self.is_serving = False
+
 
 class WeightCoordinator:
     """Reconciles the samplers of one pool with its weight policy."""
@@ -130,28 +146,56 @@
         version = await self._wanted_version(policy)
         if version is None:
             return
-        states = await self._read_states(pool)
-        await self._stage(policy, pool, version, states)
-        states = await self._read_states(pool)
-        await self._switch(pool, version, states)
+        samplers = [sampler for sampler in pool.samplers if not sampler.leaving]
+        for sampler in samplers:
+            self._notice_restart(pool, sampler, version)
+        await self._look_at_unknown(samplers, version)
+        await self._stage(policy, samplers, version)
+        await self._switch(samplers, version)
         self._publish_set_aside(pool)
 
+    def _notice_restart(self, pool: SamplerPool, sampler: BackEnd, version: int) -> None:
+        """A sampler that its watchers see at another version than it was switched to is looked at
+        again: it was started anew, or another coordinator ordered it."""
+        progress = self._progress_of(sampler.name, version)
+        reports = self._agent.digest.reports_for(f"{pool.name}/{sampler.name}")
+        seen = [item for item in reports if item[0].version >= 0]
+        if not progress.is_serving or not seen:
+            return
+        report, age = min(seen, key=lambda item: item[1])
+        since_switch = time.monotonic() - progress.switched_at
+        if report.version != version and age < since_switch - REPORT_LAG_SECONDS:
+            progress.forget_state()
+
+    async def _look_at_unknown(self, samplers: list[BackEnd], version: int) -> None:
+        """Ask those samplers for their state of which nothing is known, every few seconds.
+
+        What this coordinator ordered itself it knows from the answers, so that it does not ask
+        hundreds of samplers all the time.
+        """
+        now = time.monotonic()
+
+        async def look(sampler: BackEnd) -> None:
+            progress = self._progress_of(sampler.name, version)
+            if progress.is_known or now - progress.looked_at < LOOK_SECONDS:
+                return
+            progress.looked_at = now
+            try:
+                state = await self._sampler.state(sampler.address)
+            except SamplerError:
+                return
+            progress.is_known = True
+            progress.is_loaded = version in state.loaded
+            progress.is_serving = state.serving == version
+
+        await asyncio.gather(*(look(sampler) for sampler in samplers))
+
     async def _wanted_version(self, policy: WeightPolicy) -> int | None:
         if policy.pinned_version is not None:
             return policy.pinned_version
         versions = await self._store.versions(policy.store, policy.pool)
         return versions[-1] if versions else None
 
-    async def _read_states(self, pool: SamplerPool) -> dict[str, SamplerState]:
-        async def read(sampler: BackEnd) -> tuple[str, SamplerState | None]:
-            try:
-                return sampler.name, await self._sampler.state(sampler.address)
-            except SamplerError:
-                return sampler.name, None
-
-        found = await asyncio.gather(*(read(s) for s in pool.samplers if not s.leaving))
-        return {name: state for name, state in found if state is not None}
-
     def _progress_of(self, sampler: str, version: int) -> SamplerProgress:
         progress = self._progress.get(sampler)
         if progress is None or progress.version != version:
@@ -159,26 +203,18 @@
             self._progress[sampler] = progress
         return progress
 
-    async def _stage(
-        self, policy: WeightPolicy, pool: SamplerPool, version: int, states: dict[str, SamplerState]
-    ) -> None:
+    async def _stage(self, policy: WeightPolicy, samplers: list[BackEnd], version: int) -> None:
         gate = asyncio.Semaphore(policy.staging_concurrency)
-        now = asyncio.get_running_loop().time()
+        now = time.monotonic()
 
         async def load(sampler: BackEnd) -> None:
+            progress = self._progress_of(sampler.name, version)
+            if not progress.is_known or progress.is_loaded or progress.retry_at > now:
+                return
             async with gate:
-                await self._load_one(
-                    policy, sampler, version, self._source(policy, sampler, version)
-                )
+                await self._load_one(policy, sampler, version)
 
-        waiting = [
-            sampler
-            for sampler in pool.samplers
-            if sampler.name in states
-            and version not in states[sampler.name].loaded
-            and self._progress_of(sampler.name, version).retry_at <= now
-        ]
-        await asyncio.gather(*(load(sampler) for sampler in waiting))
+        await asyncio.gather(*(load(sampler) for sampler in samplers))
 
     def _source(self, policy: WeightPolicy, sampler: BackEnd, version: int) -> str:
         """A caching node, of the sampler's zone if there is one; the store after a failed load."""
@@ -191,27 +227,34 @@
         chosen = ranked(f"weights-source/{sampler.name}", near or caching)[0]
         return cache_source(chosen.caller_address, policy.pool, version)
 
-    async def _load_one(
-        self, policy: WeightPolicy, sampler: BackEnd, version: int, source: str
-    ) -> None:
+    async def _load_one(self, policy: WeightPolicy, sampler: BackEnd, version: int) -> None:
         if not self._duty.is_held():
             return
         progress = self._progress_of(sampler.name, version)
+        source = self._source(policy, sampler, version)
         try:
             await self._sampler.load(sampler.address, version, source, self._duty.fence)
-            progress.failed_loads = 0
-            if progress.set_aside:
-                progress.set_aside = ""
-                self._decide("bring_back", sampler, "its load succeeded")
         except OrderRefused:
             log.warning("order refused: a newer coordinator acts", extra={"pool": policy.pool})
+            return
         except OrderFailed as error:
-            progress.failed_loads += 1
-            now = asyncio.get_running_loop().time()
-            progress.retry_at = now + progress.backoff.next_delay()
-            if progress.failed_loads >= policy.load_attempts and not progress.set_aside:
-                progress.set_aside = f"{progress.failed_loads} loads of {version} failed: {error}"
-                self._decide("set_aside", sampler, progress.set_aside)
+            self._note_failed_load(policy, sampler, progress, error)
+            return
+        progress.is_loaded = True
+        progress.failed_loads = 0
+        if progress.set_aside:
+            progress.set_aside = ""
+            self._decide("bring_back", sampler, "its load succeeded")
+
+    def _note_failed_load(
+        self, policy: WeightPolicy, sampler: BackEnd, progress: SamplerProgress, error: OrderFailed
+    ) -> None:
+        progress.failed_loads += 1
+        progress.retry_at = time.monotonic() + progress.backoff.next_delay()
+        if progress.failed_loads >= policy.load_attempts and not progress.set_aside:
+            version = progress.version
+            progress.set_aside = f"{progress.failed_loads} loads of {version} failed: {error}"
+            self._decide("set_aside", sampler, progress.set_aside)
 
     def _decide(self, kind: str, sampler: BackEnd, reason: str) -> None:
         log.warning(kind, extra={"sampler": sampler.name, "reason": reason})
@@ -228,29 +271,30 @@
             )
         )
 
-    async def _switch(
-        self, pool: SamplerPool, version: int, states: dict[str, SamplerState]
-    ) -> None:
+    async def _switch(self, samplers: list[BackEnd], version: int) -> None:
         """Switch all at once, when each sampler that answers has the version or is set aside."""
-        behind = [
-            sampler
-            for sampler in pool.samplers
-            if sampler.name in states and states[sampler.name].serving != version
-        ]
+        progress = {item.name: self._progress_of(item.name, version) for item in samplers}
+        known = [item for item in samplers if progress[item.name].is_known]
+        behind = [item for item in known if not progress[item.name].is_serving]
         for sampler in behind:
-            has_version = version in states[sampler.name].loaded
-            if not has_version and not self._progress_of(sampler.name, version).set_aside:
+            own = progress[sampler.name]
+            if not own.is_loaded and not own.set_aside:
                 return
-        ready = [sampler for sampler in behind if version in states[sampler.name].loaded]
+        ready = [item for item in behind if progress[item.name].is_loaded]
         await asyncio.gather(*(self._switch_one(sampler, version) for sampler in ready))
 
     async def _switch_one(self, sampler: BackEnd, version: int) -> None:
         if not self._duty.is_held():
             return
+        progress = self._progress_of(sampler.name, version)
         try:
             await self._sampler.switch(sampler.address, version, self._duty.fence)
         except (OrderRefused, OrderFailed) as error:
             log.info("switch failed", extra={"sampler": sampler.name, "error": str(error)})
+            progress.forget_state()
+            return
+        progress.is_serving = True
+        progress.switched_at = time.monotonic()
 
     def _publish_set_aside(self, pool: SamplerPool) -> None:
         """Tell all nodes which samplers are out of routing, as reports of this watcher."""
--- a/src/crankseam_experiments/slopes.py
+++ b/src/crankseam_experiments/slopes.py
@@ -12,8 +12,12 @@
 from pathlib import Path
 from typing import Any
 
+import aiohttp
 import msgspec
+from aiohttp import web
 
+from crankseam.clients.load_report import fetch_load_report
+from crankseam.clients.sampler import CompletionRequest, SamplerClient
 from crankseam.identifiers import date_of, new_dated_id
 from crankseam.peers.messages import (
     Accept,
@@ -32,6 +36,7 @@
 from crankseam.records.replica import ReplicaStore
 from crankseam.records.slots import SlotTable
 from crankseam.requests.request_record import RequestRecord, RequestState, encode_record
+from crankseam.rollout.executors import read_stream
 from crankseam.rollout.messages import SampleRecord, SampleResult, Segment
 from crankseam_experiments.spec import SlopesExperiment
 
@@ -134,6 +139,8 @@
     report["move"] = await _measure_move(replicas, proposer, slots, replica_set)
     await replicas.close()
     report["memory"] = _measure_memory(spec.records)
+    report["load_poll"] = await _measure_polls(spec.records // 4)
+    report["stream"] = await _measure_stream()
     report["summary"] = {
         "request_cpu_us": report["request_record"]["cpu_us"],
         "record_memory_bytes": report["memory"]["request_record_bytes"],
@@ -208,6 +215,93 @@
     }
 
 
+METRICS = "".join(
+    f"# TYPE {name} gauge\n{name} 3\n"
+    for name in (
+        "vllm:num_requests_running",
+        "vllm:num_requests_waiting",
+        "sampler:weight_version",
+        "sampler:leaving",
+    )
+)
+STREAM_EVENTS = 20_000
+TOKENS_PER_EVENT = 8
+
+
+async def _serve(app: web.Application) -> tuple[web.AppRunner, str]:
+    runner = web.AppRunner(app, access_log=None)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    assert site._server is not None
+    port = site._server.sockets[0].getsockname()[1]  # type: ignore[attr-defined]
+    return runner, f"127.0.0.1:{port}"
+
+
+async def _measure_polls(count: int) -> dict[str, Any]:
+    """One look at a back end's load report, both ends in this process."""
+
+    async def metrics(_request: web.Request) -> web.Response:
+        return web.Response(text=METRICS)
+
+    app = web.Application()
+    app.router.add_get("/metrics", metrics)
+    runner, address = await _serve(app)
+    async with aiohttp.ClientSession() as session:
+        started = cpu_seconds()
+        for _ in range(count):
+            assert await fetch_load_report(session, address, 5.0) is not None
+        spent = cpu_seconds() - started
+    await runner.cleanup()
+    return {"count": count, "cpu_us": round(spent / count * 1e6, 1)}
+
+
+async def _measure_stream() -> dict[str, Any]:
+    """Reading a sampler's stream, both ends in this process; the sending end is encoded once."""
+    event = {
+        "id": "trainer/1/1",
+        "object": "text_completion",
+        "weight_version": 7,
+        "choices": [
+            {
+                "index": 0,
+                "text": "",
+                "token_ids": list(range(20_000, 20_000 + TOKENS_PER_EVENT)),
+                "finish_reason": None,
+            }
+        ],
+    }
+    line = b"data: " + msgspec.json.encode(event) + b"\n\n"
+    event["choices"][0]["finish_reason"] = "stop"  # type: ignore[index]
+    last = b"data: " + msgspec.json.encode(event) + b"\n\n"
+
+    async def stream(request: web.Request) -> web.StreamResponse:
+        response = web.StreamResponse(headers={"Content-Type": "text/event-stream"})
+        await response.prepare(request)
+        for _ in range(STREAM_EVENTS - 1):
+            await response.write(line)
+        await response.write(last)
+        return response
+
+    app = web.Application()
+    app.router.add_post("/v1/completions", stream)
+    runner, address = await _serve(app)
+    async with aiohttp.ClientSession() as session:
+        client = SamplerClient(session, 10.0)
+        started = cpu_seconds()
+        outcome = await read_stream(client, address, CompletionRequest("r", "p", 10**6, [], 0))
+        spent = cpu_seconds() - started
+    await runner.cleanup()
+    assert outcome.finished
+    tokens = len(outcome.tokens)
+    return {
+        "tokens": tokens,
+        "tokens_per_event": TOKENS_PER_EVENT,
+        "cpu_us_per_event": round(spent / STREAM_EVENTS * 1e6, 1),
+        "cpu_us_per_1000_tokens": round(spent / tokens * 1e9, 1),
+    }
+
+
 def _measure_memory(count: int) -> dict[str, Any]:
     """Memory of one record on one replica."""
     _claim, answer = claim_and_answer()
--- a/src/crankseam_experiments/weakened_node.py
+++ b/src/crankseam_experiments/weakened_node.py
@@ -121,7 +121,7 @@
 WEAKENINGS: dict[str, Weakening] = {
     "true_weight_versions": Weakening(_label_with_first_version, ("break_streams",)),
     "staleness_bound": Weakening(_deliver_stale, ("break_streams",)),
-    "sample_exactly_once": Weakening(_ignore_cursor, ("kill_trainer",)),
+    "sample_exactly_once": Weakening(_ignore_cursor, ("kill_trainer", "kill_node")),
     "whole_answer": Weakening(_share_records, ("kill_app",)),
     "not_run_means_not_run": Weakening(_claim_nothing_ran, ("lose_app_answers",)),
     "at_most_once": Weakening(_forward_without_claim, ("lose_app_answers",)),
--- a/tests/controllers/test_weights.py
+++ b/tests/controllers/test_weights.py
@@ -118,3 +118,36 @@
     weights.store.faults.rate = 2.0
     await weights.publish(2)
     await eventually(lambda: weights.serving() == [2] * SAMPLERS, "all switched")
+
+
+async def test_a_sampler_that_was_started_anew_gets_the_weights_again(weights):
+    await weights.publish(2)
+    await eventually(lambda: weights.serving() == [2] * SAMPLERS, "all switched")
+    weights.samplers[1].serving = 1
+    weights.samplers[1]._loaded = [1]
+    await eventually(lambda: weights.serving() == [2] * SAMPLERS, "switched again")
+
+
+async def test_samplers_are_not_asked_while_nothing_changes(weights):
+    """Found from docs/CAPACITY.md: 200 samplers were asked for their state all the time."""
+    await weights.publish(2)
+    await eventually(lambda: weights.serving() == [2] * SAMPLERS, "all switched")
+    [(coordinator, _task)] = weights.node.weights._running.values()
+    asked = []
+    state = coordinator._sampler.state
+
+    async def count(address):
+        asked.append(address)
+        return await state(address)
+
+    coordinator._sampler.state = count
+    rounds = []
+    wanted = coordinator._wanted_version
+
+    async def count_rounds(policy):
+        rounds.append(policy)
+        return await wanted(policy)
+
+    coordinator._wanted_version = count_rounds
+    await eventually(lambda: len(rounds) > 20)
+    assert asked == []
