Revert the lane for long samples

Tried: one sampler kept at a small batch for long samples (by prompt group, or by what they had generated, moved there with their tokens), since a decode step costs more the more sequences run in it. Cause: what the long samples win, the others lose on the four samplers left. Conclusion: reverted.

--- a/src/crankseam/config/kinds.py
+++ b/src/crankseam/config/kinds.py
@@ -68,10 +68,6 @@
     samplers: list[BackEnd] = Field(min_length=1)
     max_running_per_sampler: int = Field(default=64, ge=1)
     """Requests that crankseam keeps at one sampler at a time."""
-    long_sample_samplers: int = Field(default=0, ge=0)
-    """Samplers kept at a small batch for long samples; see docs/operators/idle-and-staleness.md."""
-    long_sample_batch: int = Field(default=20, ge=1)
-    """Requests that crankseam keeps at one of those at a time."""
     routing: Literal["least_load", "round_robin"] = "least_load"
     """How a sampler is chosen; `round_robin` is there to compare with."""
 
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -41,7 +41,6 @@
 from crankseam.requests.limits import AdmissionFilter, ServiceLimitFilter
 from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.generation import SampleGenerator
-from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.service import RolloutService
 from crankseam.routing import Router
 from crankseam.settings import NodeSettings
@@ -133,17 +132,15 @@
         probe = BackEndProbe(
             self._session, agent.digest, timing.heartbeat_interval, timing.peer_timeout
         )
-        lengths = LengthEstimator()
         generator = SampleGenerator(
             self.executors,
             self.router,
             self.decisions,
             agent.may_send_work,
-            lengths,
             self.limits,
             probe,
         )
-        self.rollout = RolloutService(agent, generator, lengths)
+        self.rollout = RolloutService(agent, generator)
         claims = self.claims = RequestClaims(agent)
         # The way of an app request, first to last.
         self._chain = build_chain(
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -15,8 +15,6 @@
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
 from crankseam.rollout.executors import StreamExecutors
-from crankseam.rollout.lanes import LaneRule, lane_of, lane_rule
-from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import (
     SampleRequest,
     SampleResult,
@@ -29,7 +27,6 @@
 log = logging.getLogger(__name__)
 
 REASON = "least load within the staleness bound"
-REASON_LONG = "a long sample: a small batch first, then least load within the staleness bound"
 WAIT_FOR_SAMPLER_BASE = 0.02
 WAIT_FOR_SAMPLER_CAP = 0.1
 
@@ -125,12 +122,10 @@
         router: Router,
         decisions: DecisionLog,
         may_send: Callable[[], bool],
-        lengths: LengthEstimator,
         shares: LimitShareController,
         probe: BackEndProbe,
     ) -> None:
         self._probe = probe
-        self._lengths = lengths
         self._shares = shares
         self._executors = executors
         self._may_send = may_send
@@ -176,8 +171,7 @@
             return None
         if job.oldest_version() < wanted.oldest_allowed:
             job.start_again()  # carried on, it could not be delivered
-        is_long = self._is_long(job)
-        decision = self._choose(job, wanted, is_long)
+        decision = self._choose(job, wanted)
         if decision.choice is None:
             return None
         sampler = next(s for s in wanted.pool.samplers if s.name == decision.choice)
@@ -185,30 +179,17 @@
             self._router.fail_connection(f"{wanted.pool.name}/{sampler.name}")
             return None
         self._decisions.record(decision)
-        await self._attempt(job, sampler, wanted, self._bound(job, wanted, is_long))
+        await self._attempt(job, sampler, wanted)
         return decision
 
-    def _is_long(self, job: SampleJob) -> bool:
-        threshold = self._lengths.long_from()
-        proven = threshold is not None and len(job.tokens) >= threshold
-        return proven or self._lengths.is_expected_long(job.request)
-
-    def _bound(self, job: SampleJob, wanted: GenerationTarget, is_long: bool) -> int:
-        """Tokens to ask for now: up to where the sample proves long and is to be moved."""
-        remaining = job.request.max_tokens - len(job.tokens)
-        threshold = self._lengths.long_from()
-        if is_long or threshold is None or not lane_of(wanted.pool):
-            return remaining
-        return max(1, min(remaining, threshold - len(job.tokens)))
-
     def has_eligible(self, wanted: GenerationTarget) -> bool:
         """Whether any sampler could take a sample now, were it not full."""
         pool = wanted.pool
         choice = self._router.choose(pool.name, pool.samplers, _version_rule(wanted))
         return choice.back_end is not None
 
-    def _choose(self, job: SampleJob, wanted: GenerationTarget, is_long: bool) -> Decision:
-        choice = self._choose_sampler(wanted, lane_rule(wanted.pool, is_long))
+    def _choose(self, job: SampleJob, wanted: GenerationTarget) -> Decision:
+        choice = self._choose_sampler(wanted)
         return Decision(
             decision_id=self._decisions.new_id(),
             kind="sample",
@@ -216,34 +197,32 @@
             node=self._decisions.node,
             revision=wanted.revision,
             at="",
-            reason=REASON_LONG if is_long else REASON,
+            reason=REASON,
             choice=choice.back_end.name if choice.back_end else None,
             candidates=choice.candidates,
         )
 
-    def _choose_sampler(self, wanted: GenerationTarget, lanes: LaneRule) -> Choice:
+    def _choose_sampler(self, wanted: GenerationTarget) -> Choice:
         pool = wanted.pool
         version_rule = _version_rule(wanted)
 
         def eligible(candidate: Candidate) -> str | None:
             in_flight = self._router.view(f"{pool.name}/{candidate.name}").in_flight
-            if in_flight >= lanes.places(candidate.name):
+            if in_flight >= pool.max_running_per_sampler:
                 return f"full: {in_flight} running"
             return version_rule(candidate)
 
         if pool.routing == "round_robin":
             return self._router.take_turns(pool.name, pool.samplers, eligible)
-        return self._router.choose(pool.name, pool.samplers, eligible, prefers=lanes.prefers)
+        return self._router.choose(pool.name, pool.samplers, eligible)
 
-    async def _attempt(
-        self, job: SampleJob, sampler: BackEnd, wanted: GenerationTarget, bound: int
-    ) -> None:
-        """Generate at most `bound` tokens on one sampler; what came is kept in the job."""
+    async def _attempt(self, job: SampleJob, sampler: BackEnd, wanted: GenerationTarget) -> None:
+        """Generate on one sampler until it ends or breaks off; the job keeps what came."""
         target = f"{wanted.pool.name}/{sampler.name}"
         completion = CompletionRequest(
             request_id=job.name(wanted.trainer.name),
             prompt=job.request.prompt,
-            max_tokens=bound,
+            max_tokens=job.request.max_tokens - len(job.tokens),
             prior_tokens=list(job.tokens),
             priority=job.step,
         )
--- a/src/crankseam/rollout/service.py
+++ b/src/crankseam/rollout/service.py
@@ -13,7 +13,6 @@
 from crankseam.errors import BadRequest, NotFound, RecordError, StillRunning, Unavailable
 from crankseam.rollout.cursor import parse_cursor
 from crankseam.rollout.generation import GenerationTarget, SampleGenerator
-from crankseam.rollout.lanes import lane_of
 from crankseam.rollout.lengths import LengthEstimator
 from crankseam.rollout.messages import Acknowledge, OpenStep
 from crankseam.rollout.sample_records import STEP_RETENTION_MILLISECONDS, SampleRecords
@@ -31,12 +30,10 @@
 class RolloutService:
     """Opens steps, streams their samples and takes acknowledgements."""
 
-    def __init__(
-        self, agent: ClusterAgent, generator: SampleGenerator, lengths: LengthEstimator
-    ) -> None:
+    def __init__(self, agent: ClusterAgent, generator: SampleGenerator) -> None:
         self._agent = agent
         self._generator = generator
-        self._lengths = lengths
+        self._lengths = LengthEstimator()
         self._runs: dict[tuple[str, int], StepRun] = {}
         self._schedulers: dict[str, PoolScheduler] = {}
         self.streams = 0
@@ -133,9 +130,7 @@
     def _scheduler(self, pool_name: str) -> PoolScheduler:
         def capacity() -> int:
             pool = self._agent.lease.snapshot.pools[pool_name]
-            lane = len(lane_of(pool))
-            full = (len(pool.samplers) - lane) * pool.max_running_per_sampler
-            return full + lane * pool.long_sample_batch
+            return len(pool.samplers) * pool.max_running_per_sampler
 
         if pool_name not in self._schedulers:
             self._schedulers[pool_name] = PoolScheduler(capacity)
--- a/src/crankseam/routing.py
+++ b/src/crankseam/routing.py
@@ -85,14 +85,12 @@
         back_ends: Iterable[BackEnd],
         eligible: Callable[[Candidate], str | None] = lambda _candidate: None,
         excluded: frozenset[str] = frozenset(),
-        prefers: Callable[[str], bool] = lambda _name: True,
     ) -> Choice:
         """Choose one of `back_ends` of the service or pool `group`.
 
         Args:
             eligible: returns a reason to refuse a candidate, None to accept it.
             excluded: names already tried for this request.
-            prefers: whether a name is among those to choose from while one of them is eligible.
         """
         by_name = {back_end.name: back_end for back_end in back_ends}
         candidates = [self._consider(group, back_end) for back_end in by_name.values()]
@@ -104,7 +102,6 @@
         accepted = [candidate for candidate in candidates if candidate.refused is None]
         if not accepted:
             return Choice(None, candidates)
-        accepted = [candidate for candidate in accepted if prefers(candidate.name)] or accepted
         lowest = min(candidate.load for candidate in accepted)
         # Equal loads: one of this zone first, then by chance, so that nodes do not all agree.
         tied = [candidate for candidate in accepted if candidate.load == lowest]
--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -245,13 +245,7 @@
             update["idle_weight"] = policy.idle_weight
         return document.model_copy(update=update)
     if isinstance(document, SamplerPool):
-        pool_update: dict[str, Any] = {
-            "routing": policy.routing,
-            "long_sample_samplers": policy.lane_samplers,
-        }
-        if policy.max_running_per_sampler is not None:
-            pool_update["max_running_per_sampler"] = policy.max_running_per_sampler
-        return document.model_copy(update=pool_update)
+        return document.model_copy(update={"routing": policy.routing})
     return document
 
 
--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -104,10 +104,6 @@
     """Overrides the trainer's; None keeps the configured one."""
     sample_order: Literal["longest_first", "as_given"] = "longest_first"
     routing: Literal["least_load", "round_robin"] = "least_load"
-    lane_samplers: int = 0
-    """Samplers kept at a small batch for long samples."""
-    max_running_per_sampler: int | None = None
-    """Overrides the pool's; None keeps the configured one."""
     hints: bool = False
     """Whether the trainer tells each sample's exact length: the oracle."""
 
--- a/tests/rollout/test_steps.py
+++ b/tests/rollout/test_steps.py
@@ -10,7 +10,6 @@
 from crankseam.identifiers import date_of, new_dated_id
 from crankseam.rollout import executors
 from crankseam.rollout.cursor import format_cursor, parse_cursor
-from crankseam.rollout.lanes import lane_of
 from crankseam.rollout.messages import OpenStep, SampleRequest, SampleResult
 from crankseam_standins.sampler import SamplerStandin, sample_length, token_at
 from crankseam_standins.sampler_parameters import SamplerParameters
@@ -186,29 +185,6 @@
     assert_whole_and_true(rollout, results)
 
 
-async def test_a_sample_that_proves_long_is_moved_to_the_lane_with_its_tokens(rollout):
-    pool = rollout.cluster.nodes[0].agent.lease.snapshot.pools["pool"]
-    trainer = rollout.cluster.nodes[0].agent.lease.snapshot.trainers["trainer"]
-    lane_pool = pool.model_copy(update={"long_sample_samplers": 1, "long_sample_batch": 4})
-    await rollout.cluster.platform.apply(
-        [*rollout.cluster.platform.documents(), lane_pool, trainer]
-    )
-    await eventually(
-        lambda: all(n.agent.lease.snapshot.revision == 3 for n in rollout.cluster.nodes.values())
-    )
-    lengths = rollout.cluster.nodes[0].rollout._lengths
-    for _ in range(100):
-        lengths.learn("other", 6)
-    await rollout.open(0)
-    results = await rollout.stream(0)
-    assert_whole_and_true(rollout, results)
-    [lane] = lane_of(lane_pool)
-    # The lane has 4 places for the 12 samples; those that found it full went on elsewhere.
-    assert any(r.samplers[0] != lane and r.samplers[-1] == lane for r in results)
-    # Nothing was generated twice for a move.
-    assert sum(s.tokens_made for s in rollout.samplers) == sum(len(r.tokens) for r in results)
-
-
 async def test_a_limit_on_the_pool_holds_for_samples(rollout):
     snapshot = rollout.cluster.nodes[0].agent.lease.snapshot
     limit = Limit(kind="Limit", name="pool-limit", target="pool", max_in_flight=2)
