--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -227,14 +227,18 @@
 def weaken_experiment(spec: Experiment, promise: str) -> Experiment:
     """The same experiment as a control run: only the faults under which the absence shows."""
     assert spec.faults is not None
+    weakening = WEAKENINGS[promise]
     faults = spec.faults.model_copy(
         update={
-            "kinds": list(WEAKENINGS[promise].faults),
+            "kinds": list(weakening.faults),
             "count": CONTROL_FAULTS,
             "in_force_seconds": CONTROL_IN_FORCE_SECONDS,
         }
     )
-    return spec.model_copy(update={"faults": faults})
+    update: dict[str, Any] = {"faults": faults}
+    if weakening.app_work_seconds is not None:
+        update["app_work_seconds"] = weakening.app_work_seconds
+    return spec.model_copy(update=update)
 
 
 def with_policy(document: Document, policy: Policy) -> Document:
--- a/src/crankseam_experiments/weakened_node.py
+++ b/src/crankseam_experiments/weakened_node.py
@@ -32,6 +32,8 @@
 
     apply: Callable[[], None]
     faults: tuple[FaultName, ...]
+    app_work_seconds: float | None = None
+    """Mean time that an app server works, where requests must be under way for it to show."""
 
 
 def _replace(owner: Any, name: str, replacement: Any) -> None:
@@ -126,7 +128,7 @@
     "not_run_means_not_run": Weakening(_claim_nothing_ran, ("lose_app_answers",)),
     "at_most_once": Weakening(_forward_without_claim, ("lose_app_answers",)),
     "leaving_gets_no_work": Weakening(_route_to_leaving, ("leave_app",)),
-    "planned_stop_cuts_nothing": Weakening(_stop_at_once, ("planned_stop",)),
+    "planned_stop_cuts_nothing": Weakening(_stop_at_once, ("planned_stop",), 0.5),
     "config_in_force_never_reverts": Weakening(_serve_without_lease, ("change_while_cut",)),
 }
 
