--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -119,6 +119,17 @@
         return msgspec.structs.replace(self.agent.own, caller_address=address)
 
     def _build(self, app: web.Application) -> None:
+        """Make the parts, from what others need to what needs others."""
+        self._build_controllers()
+        timing = self.settings.timing
+        probe = BackEndProbe(
+            self._session, self.agent.digest, timing.heartbeat_interval, timing.peer_timeout
+        )
+        self._build_rollout(probe)
+        self._build_request_chain(probe)
+        self._add_routes(app)
+
+    def _build_controllers(self) -> None:
         agent = self.agent
         self.router = Router(agent.digest, self.settings.zone, random.Random(agent.identity))
         self.decisions = DecisionLog(agent)
@@ -126,12 +137,11 @@
         self.watch = BackEndWatchController(agent, self._session)
         self.placement = ReplicaPlacementController(agent)
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
+
+    def _build_rollout(self, probe: BackEndProbe) -> None:
+        agent = self.agent
         sampler = SamplerClient(self._session, SAMPLER_SILENCE_SECONDS)
         self.executors = StreamExecutors(agent, sampler)
-        timing = self.settings.timing
-        probe = BackEndProbe(
-            self._session, agent.digest, timing.heartbeat_interval, timing.peer_timeout
-        )
         generator = SampleGenerator(
             self.executors,
             self.router,
@@ -141,27 +151,32 @@
             probe,
         )
         self.rollout = RolloutService(agent, generator)
-        claims = self.claims = RequestClaims(agent)
-        # The way of an app request, first to last.
+
+    def _build_request_chain(self, probe: BackEndProbe) -> None:
+        """The way of an app request, first to last."""
+        agent = self.agent
+        self.claims = RequestClaims(agent)
         self._chain = build_chain(
             [
                 IdentifyFilter(self.settings.timing.record_retention),
                 DeadlineFilter(),
-                RefusalFilter(claims),
+                RefusalFilter(self.claims),
                 ConfigurationFilter(agent.lease),
                 HomeRegionFilter(agent, self._session),
                 self.admission,
                 ServiceLimitFilter(self.limits),
-                ClaimFilter(claims),
+                ClaimFilter(self.claims),
             ],
             Forwarder(self._session, self.router, self.decisions, agent.may_send_work, probe),
         )
+
+    def _add_routes(self, app: web.Application) -> None:
         app.middlewares.append(self._answer_problems)
         app.router.add_route("*", "/services/{service}/{path:.*}", self._handle_service)
         self.rollout.add_routes(app)
         OperatorApi(self).add_routes(app)
         if self.settings.data_folder is not None:
-            cache = WeightsCache(self.settings.data_folder, self._session, agent.lease)
+            cache = WeightsCache(self.settings.data_folder, self._session, self.agent.lease)
             cache.add_routes(app)
 
     def _start_controllers(self) -> None:
--- a/src/crankseam/requests/claim.py
+++ b/src/crankseam/requests/claim.py
@@ -75,6 +75,7 @@
 
     @staticmethod
     def digest(context: RequestContext) -> str:
+        """What tells a request from another under the same key: method, path and body."""
         head = f"{context.http.method} {context.path}\n".encode()
         return hashlib.sha256(head + context.body).hexdigest()[:DIGEST_LENGTH]
 
