--- a/src/crankseam/clients/weight_store.py
+++ b/src/crankseam/clients/weight_store.py
@@ -2,12 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
+from pathlib import Path
+
 import aiohttp
 import msgspec
 
 from crankseam.errors import CrankseamError
 
-READ_TIMEOUT_SECONDS = 120.0
+READ_SECONDS = 30.0
+"""Silence after which a read is given up."""
+CHUNK_BYTES = 4 * 1024 * 1024
 
 
 class WeightStoreError(CrankseamError):
@@ -37,13 +42,20 @@
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise WeightStoreError(type(error).__name__) from error
 
-    async def read(self, address: str, pool: str, version: int) -> bytes:
-        """A version's bytes. Raises WeightStoreError, also on the store's 429 and 503."""
-        timeout = aiohttp.ClientTimeout(total=READ_TIMEOUT_SECONDS, sock_connect=1.0)
+    async def download(self, address: str, pool: str, version: int, file: Path) -> None:
+        """Write a version's bytes to a file, a chunk at a time.
+
+        Raises:
+            WeightStoreError: also on the store's 429 and 503; the file may be half written.
+        """
+        timeout = aiohttp.ClientTimeout(total=None, sock_connect=1.0, sock_read=READ_SECONDS)
+        url = self.source(address, pool, version)
         try:
-            async with self._session.get(self.source(address, pool, version), timeout=timeout) as a:
-                a.raise_for_status()
-                return await a.read()
+            async with self._session.get(url, timeout=timeout) as answer:
+                answer.raise_for_status()
+                with await asyncio.to_thread(file.open, "wb") as target:
+                    async for chunk in answer.content.iter_chunked(CHUNK_BYTES):
+                        await asyncio.to_thread(target.write, chunk)
         except (aiohttp.ClientError, TimeoutError) as error:
             raise WeightStoreError(type(error).__name__) from error
 
--- a/src/crankseam/weights_cache.py
+++ b/src/crankseam/weights_cache.py
@@ -59,25 +59,24 @@
         return file
 
     async def _fetch_from_store(self, store: str, pool: str, version: int, file: Path) -> None:
+        await asyncio.to_thread(file.parent.mkdir, parents=True, exist_ok=True)
+        partial = file.with_suffix(".partial")
         backoff = Backoff(0.2, 5.0)
         for _attempt in range(FETCH_ATTEMPTS):
             self.store_reads += 1
             try:
-                content = await self._store.read(store, pool, version)
+                await self._store.download(store, pool, version, partial)
             except WeightStoreError as error:
                 log.info("weights not read", extra={"pool": pool, "error": str(error)})
                 await asyncio.sleep(backoff.next_delay())
                 continue
-            await asyncio.to_thread(self._write, file, content)
+            await asyncio.to_thread(self._keep, partial, file)
             return
         raise Unavailable(f"weights {version} of {pool}", retry_after=RETRY_SECONDS)
 
     @staticmethod
-    def _write(file: Path, content: bytes) -> None:
-        """Write beside and rename, so that a crash leaves no half file; drop old versions."""
-        file.parent.mkdir(parents=True, exist_ok=True)
-        partial = file.with_suffix(".partial")
-        partial.write_bytes(content)
+    def _keep(partial: Path, file: Path) -> None:
+        """Rename what was written whole, so that a crash leaves no half file; drop old versions."""
         partial.rename(file)
         kept = sorted(file.parent.glob("*.weights"), key=lambda path: int(path.stem))
         for old in kept[:-KEPT_VERSIONS]:
