Found a slot anew only after every living member was asked; end its old epoch

Cause (review): a node that had not heard of a move took the slot for lost when two members of the old set had restarted, and would have founded it anew beside the set that served; replicas that lived on in an old set went on voting. Change: the founder asks all living members for their tables first, and a replica that hears of a newer founded set ends its own epoch. Tests: a slot whose majority restarted is founded anew and refuses old ids; the old epoch ends (failing before).

--- a/src/crankseam/controllers/founding.py
+++ b/src/crankseam/controllers/founding.py
@@ -16,7 +16,7 @@
 from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
 from crankseam.constants import FOUNDING_PREFIX, REPLICAS_PER_SLOT
 from crankseam.errors import KeyValueError
-from crankseam.peers.messages import ReplicaSet
+from crankseam.peers.messages import Exchange, ExchangeAnswer, Member, ReplicaSet
 from crankseam.records.slots import desired_members, majority
 
 log = logging.getLogger(__name__)
@@ -74,7 +74,28 @@
             record = FoundingRecord(0, [])
         if not self._agent.membership.order.is_first_of_region():
             return
-        await self._found(record, held.mod_revision if held else 0, lost)
+        if lost and not await self._is_confirmed_lost():
+            return
+        await self._found(record, held.mod_revision if held else 0, self._lost_slots())
+
+    async def _is_confirmed_lost(self) -> bool:
+        """Ask every living member of the region for its table: a slot that looks lost may have
+        moved to a newer set that this node has not heard of."""
+        agent = self._agent
+        members = agent.digest.alive_in_region(agent.settings.region)
+        others = [member for member in members if member.name != agent.settings.name]
+        question = Exchange(agent.own, 0, 0)
+        timeout = agent.settings.timing.peer_timeout
+
+        async def ask(member: Member) -> None:
+            answer = await agent.transport.call_for(
+                member.peer_address, question, ExchangeAnswer, timeout
+            )
+            agent.digest.learn(answer.entries)
+
+        answers = await asyncio.gather(*(ask(m) for m in others), return_exceptions=True)
+        all_answered = not any(isinstance(answer, BaseException) for answer in answers)
+        return all_answered and bool(self._lost_slots())
 
     def _unfounded_slots(self) -> list[int]:
         known = self._agent.digest.slots
--- a/src/crankseam/records/replica.py
+++ b/src/crankseam/records/replica.py
@@ -76,10 +76,16 @@
 
     def adopt(self, replica_set: ReplicaSet) -> None:
         """Start a founded epoch, which has no state to carry over."""
-        if not replica_set.founded or self.identity not in replica_set.members:
+        if not replica_set.founded:
             return
-        if replica_set.epoch > self._highest_epochs.get(replica_set.slot, 0):
+        if replica_set.epoch <= self._highest_epochs.get(replica_set.slot, 0):
+            return
+        if self.identity in replica_set.members:
             self._start(Slot(replica_set, forgotten=replica_set.floor))
+        elif replica_set.slot in self.slots:
+            # The slot was founded anew without this replica: its epoch must not serve any more.
+            del self.slots[replica_set.slot]
+            self._highest_epochs[replica_set.slot] = replica_set.epoch
 
     def _start(self, slot: Slot) -> None:
         self.slots[slot.replica_set.slot] = slot
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -5,6 +5,7 @@
 from crankseam.cluster.digest import MemberStatus
 from crankseam.cluster.liveness import LivenessJudge
 from crankseam.cluster.stall_guard import StallGuard
+from crankseam.errors import RecordExpired
 from crankseam.peers.messages import Member
 from tests.support.harness import Platform, SmallAgent, eventually, settings_for
 
@@ -212,3 +213,28 @@
         now[0] += 0.25
         judge.tick(0.25)
     assert judge.silent(["a"]) == ["a"]
+
+
+async def test_a_slot_whose_majority_restarted_is_founded_anew_and_refuses_old_ids(
+    platform, agents
+):
+    await grow(platform, agents, 3)
+    old_sets = agents[2].agent.digest.slots.all()
+    survivor = agents[2]
+    key = survivor.agent.locate("record", dated=1000)
+    await survivor.agent.proposer.change(key, lambda _value: b"one")
+    addresses = [survivor.agent.own.peer_address]
+    for index in (0, 1):
+        await agents[index].close()
+    for index in (0, 1):
+        agents[index] = SmallAgent(settings_for(index, platform, addresses))
+        await agents[index].start()
+
+    def founded_anew():
+        sets = survivor.agent.digest.slots.all()
+        return all(s.epoch >= 1000 and s.floor > 0 for s in sets) and len(sets) == len(old_sets)
+
+    await eventually(founded_anew, "all slots founded anew")
+    with pytest.raises(RecordExpired):
+        await survivor.agent.proposer.change(key, lambda _value: b"two")
+    await eventually(lambda: all(a.agent.lease.is_held() for a in agents), "all ready again")
--- a/tests/records/test_proposer.py
+++ b/tests/records/test_proposer.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crankseam.errors import NoQuorum, RecordExpired
-from crankseam.peers.messages import FAST_BALLOT, Accept, Install, Seal
+from crankseam.peers.messages import FAST_BALLOT, Accept, Install, ReplicaSet, Seal
 from crankseam.records import replica
 from crankseam.records.proposer import RecordKey
 from tests.support.memory_cluster import MemoryCluster
@@ -166,3 +166,21 @@
         assert await reader.proposer.read(record) == b"%d" % number * 20
     assert len(pages) > 5
     assert store.record_count() == 40
+
+
+async def test_a_slot_founded_anew_ends_the_old_epoch_on_replicas_that_hear_of_it(cluster):
+    """Found in review: the replicas of the old set, where they lived, would have gone on voting."""
+    replica_set = cluster.found(MEMBERS)
+    client = cluster.client("p@1", replica_set)
+    await client.proposer.create(WHERE, b"one")
+    cluster.add("d@1")
+    anew = ReplicaSet(0, 1001, ["d@1"], floor=5000, founded=True)
+    for store in cluster.stores.values():
+        store.adopt(anew)
+    with pytest.raises(NoQuorum):
+        await client.proposer.change(WHERE, lambda value: b"two")
+    later = cluster.client("q@1", anew)
+    with pytest.raises(RecordExpired):
+        await later.proposer.change(WHERE, lambda value: b"three")
+    after_floor = RecordKey(0, "new", 5001)
+    assert await later.proposer.change(after_floor, lambda value: b"four") == b"four"
