Date a broken answer when it broke

Cause: the control run of planned_stop_cuts_nothing found nothing although 8 requests were cut off: the caller stand-in dated a broken answer when the request was sent, before the stop began. So the counts of planned_stop_cuts_nothing before this commit show less than they seem to.

--- a/src/crankseam_experiments/runner.py
+++ b/src/crankseam_experiments/runner.py
@@ -238,6 +238,9 @@
     update: dict[str, Any] = {"faults": faults}
     if weakening.app_work_seconds is not None:
         update["app_work_seconds"] = weakening.app_work_seconds
+    if weakening.time_scale is not None:
+        slower = spec.samplers.model_copy(update={"time_scale": weakening.time_scale})
+        update["samplers"] = slower
     return spec.model_copy(update=update)
 
 
--- a/src/crankseam_experiments/weakened_node.py
+++ b/src/crankseam_experiments/weakened_node.py
@@ -34,6 +34,8 @@
     faults: tuple[FaultName, ...]
     app_work_seconds: float | None = None
     """Mean time that an app server works, where requests must be under way for it to show."""
+    time_scale: float | None = None
+    """Slows the samplers down, where a step must be half received for it to show."""
 
 
 def _replace(owner: Any, name: str, replacement: Any) -> None:
@@ -123,12 +125,12 @@
 WEAKENINGS: dict[str, Weakening] = {
     "true_weight_versions": Weakening(_label_with_first_version, ("break_streams",)),
     "staleness_bound": Weakening(_deliver_stale, ("break_streams",)),
-    "sample_exactly_once": Weakening(_ignore_cursor, ("kill_trainer", "kill_node")),
+    "sample_exactly_once": Weakening(_ignore_cursor, ("kill_trainer", "kill_node"), time_scale=3.0),
     "whole_answer": Weakening(_share_records, ("kill_app",)),
     "not_run_means_not_run": Weakening(_claim_nothing_ran, ("lose_app_answers",)),
     "at_most_once": Weakening(_forward_without_claim, ("lose_app_answers",)),
     "leaving_gets_no_work": Weakening(_route_to_leaving, ("leave_app",)),
-    "planned_stop_cuts_nothing": Weakening(_stop_at_once, ("planned_stop",), 0.5),
+    "planned_stop_cuts_nothing": Weakening(_stop_at_once, ("planned_stop",), app_work_seconds=0.5),
     "config_in_force_never_reverts": Weakening(_serve_without_lease, ("change_while_cut",)),
 }
 
--- a/src/crankseam_standins/caller.py
+++ b/src/crankseam_standins/caller.py
@@ -94,13 +94,12 @@
         url = f"http://{node}/services/{self._plan.service}/bookings"
         method = "GET" if is_read else "POST"
         timeout = aiohttp.ClientTimeout(total=self._plan.deadline + 2.0, sock_connect=1.0)
-        told_at = sent_at = time.time()
+        sent_at = time.time()
         try:
             async with self._session.request(
                 method, url, data=body, headers=headers, timeout=timeout
             ) as answer:
                 content = await answer.read()
-                told_at = time.time()
                 outcome, wait = self._judge(answer, content, operation, body)
         except aiohttp.ClientConnectorError:
             outcome, wait = "no_connection", 0.1
@@ -115,7 +114,7 @@
                 "read": is_read,
                 "outcome": outcome,
                 "sent_at": sent_at,
-                "told_at": told_at,
+                "told_at": time.time(),
             }
         )
         return outcome, wait
