--- a/src/crankseam/records/replica.py
+++ b/src/crankseam/records/replica.py
@@ -106,27 +106,27 @@
             return StaleEpoch(slot.replica_set)
         return slot
 
-    def _register(self, slot: Slot, key: str, dated: int) -> Register | None:
-        """The register, made if need be; None when its id may have been forgotten."""
-        register = slot.registers.get(key)
+    def _open(self, message: Prepare | Accept) -> Register | StaleEpoch | Expired:
+        """The register a proposal is about, made if need be, or why it is not to be had."""
+        self.operations += 1
+        slot = self._find(message.slot, message.epoch)
+        if isinstance(slot, StaleEpoch):
+            return slot
+        register = slot.registers.get(message.key)
         if register is not None:
             return register
-        if dated != UNDATED and dated <= slot.forgotten:
-            return None
-        register = Register(dated)
-        slot.registers[key] = register
+        if message.dated != UNDATED and message.dated <= slot.forgotten:
+            return Expired()
+        register = Register(message.dated)
+        slot.registers[message.key] = register
         return register
 
     async def on_prepare(self, _peer: str, message: AnyMessage) -> AnyMessage:
         """Answer phase one."""
         assert isinstance(message, Prepare)
-        self.operations += 1
-        slot = self._find(message.slot, message.epoch)
-        if isinstance(slot, StaleEpoch):
-            return slot
-        register = self._register(slot, message.key, message.dated)
-        if register is None:
-            return Expired()
+        register = self._open(message)
+        if not isinstance(register, Register):
+            return register
         if message.ballot <= register.promised:
             return Rejected(register.promised)
         register.promised = message.ballot
@@ -135,13 +135,9 @@
     async def on_accept(self, _peer: str, message: AnyMessage) -> AnyMessage:
         """Answer phase two, or the fast round."""
         assert isinstance(message, Accept)
-        self.operations += 1
-        slot = self._find(message.slot, message.epoch)
-        if isinstance(slot, StaleEpoch):
-            return slot
-        register = self._register(slot, message.key, message.dated)
-        if register is None:
-            return Expired()
+        register = self._open(message)
+        if not isinstance(register, Register):
+            return register
         if message.ballot == FAST_BALLOT:
             return self._accept_fast(register, message)
         if message.ballot < register.promised:
