Clock steps in the state machine over nodes; one log line a request

Cause: the issue asks for clock steps among the faults; none was injected. Change: the nodes' wall clocks step by up to two hours, callers' do not, and records are swept by the new time.

--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -226,12 +226,23 @@
             internal = Problem("this node failed on the request; it may have run")
             return self._answer_problem(context, internal)
         finally:
-            self.metrics.observe_request(context.service_name, time.monotonic() - started)
+            self._log_request(context, time.monotonic() - started)
         if answer.response is not None:
             return answer.response
         headers = {**answer.headers, **self._answer_headers(context)}
         return web.Response(status=answer.status, headers=headers, body=answer.body)
 
+    def _log_request(self, context: RequestContext, seconds: float) -> None:
+        self.metrics.observe_request(context.service_name, seconds)
+        fields = {
+            "service": context.service_name,
+            "request": context.request_id,
+            "decision": context.decision.decision_id if context.decision else None,
+            "revision": context.snapshot.revision if context.snapshot else None,
+            "milliseconds": round(seconds * 1000, 1),
+        }
+        log.info("request", extra=fields)
+
     def _answer_problem(self, context: RequestContext, problem: Problem) -> web.Response:
         """Tell the caller; a refusal that no choice of a back end led to is a decision too."""
         self.metrics.count_problem(problem)
--- a/tests/test_node_machine.py
+++ b/tests/test_node_machine.py
@@ -1,6 +1,7 @@
 """State machine over real nodes and stand-ins: faults as rules, promises as invariants."""
 
 import asyncio
+import time
 import uuid
 from collections import Counter
 
@@ -9,6 +10,7 @@
 from hypothesis import strategies as st
 from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
 
+from crankseam.controllers.retention import RetentionController
 from crankseam.errors import ApplyConflict, KeyValueError
 from crankseam.identifiers import new_dated_id
 from crankseam_standins.app import expected_answer
@@ -16,9 +18,19 @@
 from tests.support.harness import Cluster, Platform, eventually
 
 NODES = 3
+REAL_TIME_NS = time.time_ns
 BODY = b"slot"
 
 
+def new_key() -> str:
+    """A caller's idempotency key, by the caller's own clock."""
+    stepped, time.time_ns = time.time_ns, REAL_TIME_NS
+    try:
+        return new_dated_id()
+    finally:
+        time.time_ns = stepped
+
+
 class NodeMachine(RuleBasedStateMachine):
     """Three nodes in three zones, three app servers, one key-value service."""
 
@@ -45,6 +57,7 @@
         return self.loop.run_until_complete(work)
 
     def teardown(self):
+        time.time_ns = REAL_TIME_NS
         if not hasattr(self, "loop"):
             return
 
@@ -95,7 +108,7 @@
         async def work():
             nodes = sorted(self.cluster.nodes)
             jobs = [
-                self._book(new_dated_id(), nodes[(n + spread) % len(nodes)], str(uuid.uuid4()))
+                self._book(new_key(), nodes[(n + spread) % len(nodes)], str(uuid.uuid4()))
                 for n in range(count)
             ]
             await asyncio.gather(*jobs)
@@ -123,7 +136,7 @@
             if index not in self.cluster.nodes:
                 return
             await self.cluster.kill(index)
-            await self._book(new_dated_id(), sorted(self.cluster.nodes)[0], str(uuid.uuid4()))
+            await self._book(new_key(), sorted(self.cluster.nodes)[0], str(uuid.uuid4()))
             await self.cluster.start_node(index)
             self.highest[f"node-{index}"] = 0  # another run; it may not serve below `accepted`
 
@@ -132,7 +145,7 @@
     @rule(index=st.integers(0, NODES - 1))
     def planned_stop_and_restart(self, index):
         async def work():
-            key, request_id = new_dated_id(), str(uuid.uuid4())
+            key, request_id = new_key(), str(uuid.uuid4())
             running = asyncio.create_task(self._book(key, index, request_id))
             await asyncio.sleep(0)
             await self.cluster.nodes.pop(index).stop_gracefully()
@@ -165,6 +178,13 @@
     def leave(self, app, leaving):
         self.platform.apps[f"app-{app}"].faults.leaving = leaving and app != 0
 
+    @rule(seconds=st.sampled_from([-7200, -30, 0, 30, 7200]))
+    def step_the_nodes_clocks(self, seconds):
+        """Wall clocks of all nodes step; callers' do not. Records are swept by the new time."""
+        time.time_ns = lambda: REAL_TIME_NS() + seconds * 10**9
+        for node in self.cluster.nodes.values():
+            RetentionController(node.agent).sweep()
+
     @rule(amounts=st.tuples(st.integers(1, 50), st.integers(51, 100)))
     def operators_race(self, amounts):
         async def apply(amount):
@@ -214,7 +234,7 @@
 
 
 NodeMachine.TestCase.settings = settings(
-    max_examples=15,
+    max_examples=20,
     stateful_step_count=14,
     # Each step is seconds of real nodes at work: a failing run is printed, not shrunk.
     phases=[Phase.explicit, Phase.generate],
