--- a/src/crankseam_experiments/comparison.py
+++ b/src/crankseam_experiments/comparison.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import statistics
 import sys
 from pathlib import Path
@@ -20,19 +21,32 @@
 async def run_comparison(
     spec: Experiment, folder: Path, first_seed: int, out: Path
 ) -> dict[str, Any]:
-    """Run every policy with every seed; writes the page with plots beside the report."""
+    """Run every policy with every seed; writes the page with plots beside the report.
+
+    The report is written after each seed, so that a run cut short leaves what it has.
+    """
     runs: dict[str, list[dict[str, Any]]] = {policy.name: [] for policy in spec.policies}
+    report: dict[str, Any] = {}
     for seed in range(first_seed, first_seed + spec.seeds):
         for policy in spec.policies:
-            report = await _run_one(spec, folder, seed, out, policy)
-            runs[policy.name].append(report)
-            idle = report[RUNNING]
+            single = await _run_one(spec, folder, seed, out, policy)
+            runs[policy.name].append(single)
+            idle = single[RUNNING]
             print(f"seed {seed} {policy.name}: idle {idle}", file=sys.stderr, flush=True)
+        report = _build_report(spec, first_seed, seed, runs)
+        (out / "report.json").write_text(json.dumps(report, indent=2) + "\n", encoding="utf-8")
+        write_comparison_report(report, runs, out)
+    return report
+
+
+def _build_report(
+    spec: Experiment, first_seed: int, last_seed: int, runs: dict[str, list[dict[str, Any]]]
+) -> dict[str, Any]:
     policies = {name: _summarise_policy(reports) for name, reports in runs.items()}
-    report = {
+    return {
         "name": spec.name,
         "time_scale": spec.samplers.time_scale,
-        "seeds": list(range(first_seed, first_seed + spec.seeds)),
+        "seeds": list(range(first_seed, last_seed + 1)),
         "policies": policies,
         "paired": _pair(runs),
         "promises": _sum_promises(runs),
@@ -46,8 +60,6 @@
         },
         "passed": all(item["passed"] for reports in runs.values() for item in reports),
     }
-    write_comparison_report(report, runs, out)
-    return report
 
 
 async def _run_one(
