--- a/src/crankseam_standins/sampler.py
+++ b/src/crankseam_standins/sampler.py
@@ -8,7 +8,7 @@
 import math
 import random
 import time
-from collections import OrderedDict, deque
+from collections import deque
 from dataclasses import dataclass, field
 from typing import Any
 
@@ -18,6 +18,7 @@
 
 from crankseam_standins.account import Account
 from crankseam_standins.faults import FaultOrder, Faults
+from crankseam_standins.prefix_cache import PrefixCache
 from crankseam_standins.sampler_parameters import SamplerParameters
 
 VOCABULARY = 50_000
@@ -64,32 +65,6 @@
     cancelled: bool = False
 
 
-class PrefixCache:
-    """Blocks of prompt prefixes in limited memory, least recently used first out."""
-
-    def __init__(self, blocks: int, block_tokens: int) -> None:
-        self._blocks: OrderedDict[str, None] = OrderedDict()
-        self._limit = max(1, blocks)
-        self._block_tokens = block_tokens
-
-    def cached_tokens(self, prompt: str) -> int:
-        """Leading tokens (words stand for tokens) found in the cache; the rest is added."""
-        words = prompt.split()
-        hits = 0
-        unbroken = True
-        for end in range(self._block_tokens, len(words) + 1, self._block_tokens):
-            key = " ".join(words[:end])
-            if key in self._blocks:
-                self._blocks.move_to_end(key)
-                hits += unbroken
-            else:
-                unbroken = False
-                self._blocks[key] = None
-        while len(self._blocks) > self._limit:
-            self._blocks.popitem(last=False)
-        return hits * self._block_tokens
-
-
 class SamplerStandin:
     """One engine."""
 
