One table of a replica's handlers, one way to ask, and no dead code

Written twice: the five handlers of a replica store stood in the agent (twice), the slopes and the tests' cluster; asking a member or getting None stood twice in the reconfigurer; the outcome before and after a byte was sent three times in the forwarder. More than needed: a superseded step found its tasks by name among all tasks of the process; it keeps them now. Dead: not_run() of errors, get_prefix(), counters and fields that nobody read.

--- a/src/crankseam/clients/key_value.py
+++ b/src/crankseam/clients/key_value.py
@@ -137,11 +137,6 @@
         found = await self._range({"key": _encode(key)})
         return found[0] if found else None
 
-    async def get_prefix(self, prefix: str, limit: int = 0) -> list[KeyValue]:
-        """Read all keys that start with `prefix`, in order of key."""
-        body = {"key": _encode(prefix), "range_end": _encode(prefix_end(prefix)), "limit": limit}
-        return await self._range(body)
-
     async def get_last(self, prefix: str, limit: int) -> list[KeyValue]:
         """Read the `limit` highest keys that start with `prefix`, highest first."""
         body = {
--- a/src/crankseam/cluster/agent.py
+++ b/src/crankseam/cluster/agent.py
@@ -19,19 +19,14 @@
 from crankseam.config.snapshot import StoredSnapshot
 from crankseam.errors import PeerError, PeerUnreachable, RecordError
 from crankseam.peers.messages import (
-    Accept,
     AnyMessage,
     BackEndReport,
     Exchange,
     ExchangeAnswer,
     FetchSnapshot,
-    Install,
     Member,
     Message,
-    Prepare,
-    ReadRecord,
     ReplicaSet,
-    Seal,
     SnapshotAnswer,
 )
 from crankseam.peers.transport import PeerTransport
@@ -153,20 +148,10 @@
         return Member(settings.name, settings.region, settings.zone, "", "", 0, 0)
 
     def _register_handlers(self) -> None:
-        replicas = self.replicas
-        self.transport.handle(Prepare, replicas.on_prepare)
-        self.transport.handle(Accept, replicas.on_accept)
-        self.transport.handle(ReadRecord, replicas.on_read)
-        self.transport.handle(Seal, replicas.on_seal)
-        self.transport.handle(Install, replicas.on_install)
+        self._local_handlers = self.replicas.handlers()
+        for message_type, handler in self._local_handlers.items():
+            self.transport.handle(message_type, handler)
         self.transport.handle(FetchSnapshot, self._on_fetch_snapshot)
-        self._local_handlers = {
-            Prepare: replicas.on_prepare,
-            Accept: replicas.on_accept,
-            ReadRecord: replicas.on_read,
-            Seal: replicas.on_seal,
-            Install: replicas.on_install,
-        }
 
     # --- calls and news
 
--- a/src/crankseam/controllers/weights.py
+++ b/src/crankseam/controllers/weights.py
@@ -20,7 +20,7 @@
     SamplerClient,
     SamplerError,
 )
-from crankseam.clients.weight_store import WeightStoreClient, WeightStoreError
+from crankseam.clients.weight_store import WeightStoreClient
 from crankseam.cluster.agent import ClusterAgent, wall_milliseconds
 from crankseam.config.kinds import BackEnd, SamplerPool, WeightPolicy
 from crankseam.controllers.back_end_watch import BackEndWatchController
@@ -135,7 +135,7 @@
     async def _reconcile_safely(self) -> None:
         try:
             await self._reconcile()
-        except (WeightStoreError, CrankseamError) as error:
+        except CrankseamError as error:
             log.info("weights not reconciled", extra={"error": type(error).__name__})
 
     async def _reconcile(self) -> None:
--- a/src/crankseam/errors.py
+++ b/src/crankseam/errors.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar
 
-from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
+from crankseam.constants import OUTCOME_UNKNOWN
 
 
 class CrankseamError(Exception):
@@ -188,8 +188,3 @@
 
     status = 504
     type = "deadline-exceeded"
-
-
-def not_run(problem: type[Problem], detail: str, retry_after: float | None) -> Problem:
-    """Build a problem whose outcome is `not_run`."""
-    return problem(detail, OUTCOME_NOT_RUN, retry_after)
--- a/src/crankseam/records/reconfigurer.py
+++ b/src/crankseam/records/reconfigurer.py
@@ -14,6 +14,7 @@
 
 from crankseam.errors import NoQuorum, PeerError
 from crankseam.peers.messages import (
+    AnyMessage,
     Done,
     Install,
     Message,
@@ -66,7 +67,7 @@
     async def is_installed(self, replica_set: ReplicaSet) -> bool:
         """Whether a majority of the set serves its epoch."""
         probe = ReadRecord(replica_set.slot, replica_set.epoch, NEXT_SET_KEY)
-        answers = await self._ask_all(replica_set.members, probe)
+        answers = await asyncio.gather(*(self._ask(m, probe) for m in replica_set.members))
         serving = sum(isinstance(answer, Promise) for answer in answers)
         return serving >= majority(replica_set)
 
@@ -98,10 +99,7 @@
         after = ""
         while True:
             message = Seal(current.slot, current.epoch, agreed, after)
-            try:
-                page = await self._caller.call_identity(member, message, HANDOVER_TIMEOUT)
-            except PeerError:
-                return None
+            page = await self._ask(member, message)
             if not isinstance(page, SlotState):
                 return None
             records += page.records
@@ -119,18 +117,17 @@
 
     async def _send_pages(self, member: str, agreed: ReplicaSet, pages: list[SlotState]) -> bool:
         for page in pages:
-            message = Install(agreed, page)
-            try:
-                answer = await self._caller.call_identity(member, message, HANDOVER_TIMEOUT)
-            except PeerError:
-                return False
+            answer = await self._ask(member, Install(agreed, page))
             if not isinstance(answer, Done):
                 return False
         return True
 
-    async def _ask_all(self, members: list[str], message: Message) -> list[object]:
-        calls = [self._caller.call_identity(m, message, HANDOVER_TIMEOUT) for m in members]
-        return list(await asyncio.gather(*calls, return_exceptions=True))
+    async def _ask(self, member: str, message: Message) -> AnyMessage | None:
+        """A member's answer, or None if it gave none."""
+        try:
+            return await self._caller.call_identity(member, message, HANDOVER_TIMEOUT)
+        except PeerError:
+            return None
 
 
 def split_pages(state: SlotState) -> list[SlotState]:
--- a/src/crankseam/records/replica.py
+++ b/src/crankseam/records/replica.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from crankseam.peers.messages import (
@@ -15,6 +15,7 @@
     Done,
     Expired,
     Install,
+    Message,
     Prepare,
     Promise,
     ReadRecord,
@@ -28,6 +29,9 @@
 
 log = logging.getLogger(__name__)
 
+StoreHandler = Callable[[str, AnyMessage], Awaitable[AnyMessage]]
+"""Called with the peer's name and its message; always answers."""
+
 PAGE_BYTES = 2 * 1024 * 1024
 """State is handed over in pages of about this size, far below the largest frame."""
 RECORD_OVERHEAD_BYTES = 40
@@ -74,6 +78,16 @@
         self._staged: dict[tuple[int, int], Slot] = {}
         self.operations = 0
 
+    def handlers(self) -> dict[type[Message], StoreHandler]:
+        """Which messages this store answers, and how."""
+        return {
+            Prepare: self.on_prepare,
+            Accept: self.on_accept,
+            ReadRecord: self.on_read,
+            Seal: self.on_seal,
+            Install: self.on_install,
+        }
+
     def adopt(self, replica_set: ReplicaSet) -> None:
         """Start a founded epoch, which has no state to carry over."""
         if not replica_set.founded:
--- a/src/crankseam/requests/context.py
+++ b/src/crankseam/requests/context.py
@@ -11,6 +11,7 @@
 
 from crankseam.config.kinds import Service
 from crankseam.config.snapshot import Snapshot
+from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from crankseam.decisions import Decision
 
 
@@ -58,6 +59,10 @@
         """Seconds the caller still waits."""
         return self.deadline - time.monotonic()
 
+    def outcome_so_far(self) -> str:
+        """What may be said of the request now: `not_run` until a byte may have left."""
+        return OUTCOME_UNKNOWN if self.dispatched else OUTCOME_NOT_RUN
+
     def require_service(self) -> Service:
         """The service, known once the configuration filter has run."""
         assert self.service is not None
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -85,7 +85,7 @@
                     raise
                 tried.add(choice.back_end.name)
             if not self._budget.try_spend():
-                outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+                outcome = context.outcome_so_far()
                 raise Unavailable("retry budget spent", outcome, RETRY_NO_BACK_END_SECONDS)
 
     def _choose(self, context: RequestContext, tried: frozenset[str]) -> Choice:
@@ -116,11 +116,11 @@
         target = f"{context.service_name}/{back_end.name}"
         # Directly before the first byte: this process may have been stopped since the choice.
         if not self._may_send():
-            outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+            outcome = context.outcome_so_far()
             raise Unavailable("this node was cut off or stopped", outcome, RETRY_STALE_SECONDS)
         remaining = context.remaining()
         if remaining < MIN_REMAINING_SECONDS:
-            outcome = OUTCOME_UNKNOWN if context.dispatched else OUTCOME_NOT_RUN
+            outcome = context.outcome_so_far()
             raise DeadlineExceeded("the deadline passed before it was forwarded", outcome, 1.0)
         self._router.start(target)
         try:
--- a/src/crankseam/rollout/step_run.py
+++ b/src/crankseam/rollout/step_run.py
@@ -67,7 +67,7 @@
         self._generations: dict[int, int] = {}
         self._committed: dict[int, SampleResult] = {}
         self._acknowledged: set[int] = set()
-        self._generating: set[int] = set()
+        self._generating: dict[int, asyncio.Task[None]] = {}
         self._changed = asyncio.Condition()
         self._tasks = TaskGroupOwner()
         self.dropped_stale = 0
@@ -123,20 +123,17 @@
                 self.superseded = True
                 async with self._changed:
                     self._changed.notify_all()
-                for task in [t for t in asyncio.all_tasks() if t.get_name() == self._task_name()]:
+                for task in self._generating.values():
                     task.cancel()
                 return
 
-    def _task_name(self) -> str:
-        return f"sample of step {self.opening.step} {id(self)}"
-
     # --- generating
 
     def _start_sample(self, request: SampleRequest) -> None:
         if request.index in self._generating:
             return
-        self._generating.add(request.index)
-        self._tasks.start(self._make_sample(request), self._task_name())
+        name = f"sample {self.opening.step}/{request.index}"
+        self._generating[request.index] = self._tasks.start(self._make_sample(request), name)
 
     async def _make_sample(self, request: SampleRequest) -> None:
         try:
@@ -149,7 +146,7 @@
             self._lengths.learn(request.group, len(result.tokens))
             await self._commit(result)
         finally:
-            self._generating.discard(request.index)
+            self._generating.pop(request.index, None)
 
     def _order(self, request: SampleRequest) -> tuple[float, ...]:
         """Place in the queue: earlier steps first, then as the trainer's configuration says."""
--- a/src/crankseam/weights_cache.py
+++ b/src/crankseam/weights_cache.py
@@ -36,7 +36,6 @@
         self._store = WeightStoreClient(session)
         self._lease = lease
         self._fetching: dict[tuple[str, int], asyncio.Lock] = {}
-        self.store_reads = 0
 
     def add_routes(self, app: web.Application) -> None:
         """Register the path."""
@@ -63,7 +62,6 @@
         partial = file.with_suffix(".partial")
         backoff = Backoff(0.2, 5.0)
         for _attempt in range(FETCH_ATTEMPTS):
-            self.store_reads += 1
             try:
                 await self._store.download(store, pool, version, partial)
             except WeightStoreError as error:
--- a/src/crankseam_experiments/fault_injection.py
+++ b/src/crankseam_experiments/fault_injection.py
@@ -7,7 +7,6 @@
 import sys
 import time
 from collections import Counter
-from collections.abc import Awaitable, Callable
 from typing import TYPE_CHECKING
 
 from crankseam.clients.key_value import KeyValueClient
@@ -35,7 +34,6 @@
         self._restarted: set[str] = set()
         self._busy: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
-        self._undo: list[Callable[[], Awaitable[None]]] = []
         self.injected: Counter[str] = Counter()
         self.recovery_seconds: list[float] = []
 
--- a/src/crankseam_experiments/fleet.py
+++ b/src/crankseam_experiments/fleet.py
@@ -34,8 +34,8 @@
         self.spec = spec
         self.out = out
         self._weakened = weakened
-        self._files = [folder / item for item in spec.configuration]
-        self.documents: list[Document] = read_configuration(self._files)
+        files = [folder / item for item in spec.configuration]
+        self.documents: list[Document] = read_configuration(files)
         self.standins: dict[str, ManagedProcess] = {}
         self.nodes: dict[str, ManagedProcess] = {}
         self.node_addresses: dict[str, str] = {}
@@ -43,11 +43,6 @@
         self.links = LinkProxy() if use_links else None
         self.session: aiohttp.ClientSession
 
-    @property
-    def configuration_files(self) -> list[Path]:
-        """The experiment's declarative files."""
-        return self._files
-
     def account(self, name: str) -> Path:
         """Where a stand-in writes its account."""
         return self.out / f"{name}.account.jsonl"
--- a/src/crankseam_experiments/processes.py
+++ b/src/crankseam_experiments/processes.py
@@ -5,7 +5,7 @@
 import asyncio
 import signal
 import sys
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from pathlib import Path
 
 import aiohttp
@@ -28,13 +28,10 @@
     health_url: str | None
     log_folder: Path
     process: asyncio.subprocess.Process | None = None
-    starts: int = 0
     stdout: bytes = b""
-    paused: bool = field(default=False)
 
     async def start(self) -> None:
         """Start it; its output goes to the log folder."""
-        self.starts += 1
         errors = (self.log_folder / f"{self.name}.log").open("ab")
         self.process = await asyncio.create_subprocess_exec(
             *self.command,
--- a/src/crankseam_experiments/slopes.py
+++ b/src/crankseam_experiments/slopes.py
@@ -23,12 +23,8 @@
     Accept,
     AnyMessage,
     Ballot,
-    Install,
     Message,
-    Prepare,
-    ReadRecord,
     ReplicaSet,
-    Seal,
 )
 from crankseam.peers.transport import PeerTransport
 from crankseam.records.proposer import Proposer, RecordKey
@@ -65,11 +61,8 @@
             store = ReplicaStore(member, lambda _set: None)
             store.adopt(replica_set)
             transport = PeerTransport(member, 1)
-            transport.handle(Prepare, store.on_prepare)
-            transport.handle(Accept, store.on_accept)
-            transport.handle(ReadRecord, store.on_read)
-            transport.handle(Seal, store.on_seal)
-            transport.handle(Install, store.on_install)
+            for message_type, handler in store.handlers().items():
+                transport.handle(message_type, handler)
             port = await transport.listen("127.0.0.1", 0)
             self._addresses[member] = f"127.0.0.1:{port}"
             self.stores[member] = store
--- a/tests/support/memory_cluster.py
+++ b/tests/support/memory_cluster.py
@@ -4,14 +4,9 @@
 
 from crankseam.errors import PeerTimeout, PeerUnreachable
 from crankseam.peers.messages import (
-    Accept,
     AnyMessage,
-    Install,
     Message,
-    Prepare,
-    ReadRecord,
     ReplicaSet,
-    Seal,
 )
 from crankseam.records.proposer import Proposer
 from crankseam.records.reconfigurer import Reconfigurer
@@ -48,15 +43,8 @@
         if self.lose_request(caller, target, message):
             raise PeerTimeout(target)
         store = self.stores[target]
-        handlers = {
-            Prepare: store.on_prepare,
-            Accept: store.on_accept,
-            ReadRecord: store.on_read,
-            Seal: store.on_seal,
-            Install: store.on_install,
-        }
         await asyncio.sleep(0)
-        answer = await handlers[type(message)](caller, message)  # type: ignore[arg-type]
+        answer = await store.handlers()[type(message)](caller, message)  # type: ignore[arg-type]
         if self.lose_answer(caller, target, message):
             raise PeerTimeout(target)
         return answer
