Items are scored by a request to another service before they are listed

Ruled out: the forwarder's own way (hedges and its count of failures would take a broken or late answer for a failure). Change: jobs/scoring.py asks once the text is whole; the place at the sampler is free meanwhile. The request goes by the routes in force, waits for a back end with less than half of its slots taken, is repeated with back-off, and only a whole 500 of the back end itself counts. Text and score are listed by one write; a whole text that lacks its score is kept with the running texts, so that a successor only asks for the score. A score is carried to a later job only with the same scoring request.

--- a/src/crankseam/jobs/carried.py
+++ b/src/crankseam/jobs/carried.py
@@ -61,7 +61,8 @@
         for item in job.items:
             for ended in reversed(self._ended.values()):
                 if self._is_same(item, job, ended):
-                    self._take(item.id, job, ended.texts, single_version, fitting)
+                    earlier = ended.items[item.id]
+                    self._take(item, earlier, job, ended.texts, single_version, fitting)
                     break
         return fitting
 
@@ -72,17 +73,26 @@
 
     @staticmethod
     def _take(
-        item_id: str,
+        item: ItemDefinition,
+        earlier: ItemDefinition,
         job: JobDefinition,
         texts: MadeTexts,
         single_version: bool,
         fitting: MadeTexts,
     ) -> None:
+        item_id = item.id
         finished, partial = texts.finished.get(item_id), texts.partial.get(item_id)
         if finished is not None and _versions_fit(finished.versions, job, single_version):
-            fitting.finished[item_id] = finished
+            if item.scoring == earlier.scoring:
+                fitting.finished[item_id] = finished
+            else:
+                # The text is as good as before; its score belongs to another request.
+                whole = PartialText([finished.text], list(finished.versions), whole=True)
+                fitting.partial[item_id] = whole
         elif partial is not None and _versions_fit(partial.versions, job, single_version):
-            fitting.partial[item_id] = PartialText(list(partial.events), list(partial.versions))
+            fitting.partial[item_id] = PartialText(
+                list(partial.events), list(partial.versions), partial.whole
+            )
 
 
 def _versions_fit(versions: list[int], job: JobDefinition, single_version: bool) -> bool:
--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -58,11 +58,14 @@
         min_version: int,
         avoided: str = "",
         is_long: bool = False,
+        slots_share: float = 1.0,
     ) -> BackEnd:
-        """Wait for a place; the caller must release it."""
+        """Wait for a place; the caller must release it. See PlaceRequest."""
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._numbers)
-        request = PlaceRequest(rank, number, service, model, min_version, avoided, is_long, place)
+        request = PlaceRequest(
+            rank, number, service, model, min_version, avoided, is_long, place, slots_share
+        )
         heapq.heappush(self._waiting, request)
         self._wake.set()
         try:
--- a/src/crankseam/jobs/errors.py
+++ b/src/crankseam/jobs/errors.py
@@ -16,6 +16,10 @@
     """The sampler ran the item and failed."""
 
 
+class ScoringFailed(CrankseamError):
+    """A back end ran the scoring request and failed, and said so by a whole answer."""
+
+
 @dataclass
 class ResultsConflict(CrankseamError):
     """Another process listed these results first, at the same positions."""
--- /dev/null
+++ b/src/crankseam/jobs/item_maker.py
@@ -0,0 +1,85 @@
+"""Makes the result of an item: its text at samplers, then the score of that text."""
+
+from __future__ import annotations
+
+import msgspec
+
+from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.item_run import GenerationClient, ItemRun, RouteFinder, whole_result
+from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
+from crankseam.jobs.scoring import ItemScorer
+from crankseam.serving.routes import TrafficSplitter
+
+DEFAULT_QUEUE_S = 60.0
+DEFAULT_ATTEMPTS = 1
+
+
+class ItemMaker:
+    """What all items of a process's jobs are made with.
+
+    Parameters
+    ==========
+
+    find_route : a job's route in the newest configuration.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: GenerationClient,
+        find_route: RouteFinder,
+        splitter: TrafficSplitter,
+        scorer: ItemScorer,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._find_route = find_route
+        self._splitter = splitter
+        self._scorer = scorer
+
+    def longest_queue_s(self, job: JobDefinition) -> float:
+        """How long after its job was submitted an item may be given up."""
+        route = self._find_route(job)
+        return route.max_queue if route is not None else DEFAULT_QUEUE_S
+
+    async def make(
+        self,
+        job: JobDefinition,
+        item: ItemDefinition,
+        rank: tuple[float, ...],
+        kept: PartialText,
+        is_long: bool,
+    ) -> ItemResult:
+        """The item's result; `kept` grows meanwhile. See ItemRun."""
+        result = await self._make_text(job, item, rank, kept, is_long)
+        if not result.completed or item.scoring is None:
+            return result
+        route = self._find_route(job)
+        attempts = route.max_attempts if route is not None else DEFAULT_ATTEMPTS
+        score = await self._scorer.score(job, item, item.scoring, rank, attempts)
+        if score is None:
+            return ItemResult(item.id, False)
+        return msgspec.structs.replace(result, score=score)
+
+    async def _make_text(
+        self,
+        job: JobDefinition,
+        item: ItemDefinition,
+        rank: tuple[float, ...],
+        kept: PartialText,
+        is_long: bool,
+    ) -> ItemResult:
+        if kept.whole:
+            return whole_result(item, kept)
+        run = ItemRun(
+            job,
+            item,
+            rank,
+            self._find_route,
+            self._splitter,
+            self._dispatcher,
+            self._client,
+            kept,
+            is_long,
+        )
+        return await run.run()
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
+from functools import partial
 from typing import Protocol
 
 from crankseam.jobs.dispatcher import Dispatcher
@@ -18,6 +19,7 @@
     JobDefinition,
     PartialText,
 )
+from crankseam.jobs.routed_place import routed_place
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
 from crankseam.serving.routes import Route, TrafficSplitter
@@ -43,7 +45,6 @@
 """A sampler that had room but turned an item away loads a version."""
 BROKEN_PAUSE_SECONDS = 0.02
 LONGEST_ATTEMPT_SECONDS = 60.0
-NO_ROUTE_PAUSE_SECONDS = 0.2
 
 RouteFinder = Callable[[JobDefinition], Route | None]
 
@@ -64,6 +65,11 @@
         """
 
 
+def whole_result(item: ItemDefinition, text: PartialText) -> ItemResult:
+    """The result of an item whose text is whole; without a score."""
+    return ItemResult(item.id, True, "\n".join(text.events), list(text.versions))
+
+
 class _MoveAway(Exception):
     """The sampler is slow and another one has room."""
 
@@ -110,36 +116,24 @@
     async def run(self) -> ItemResult:
         """Try until the item is whole or must be given up."""
         while True:
-            route = self._find_route(self.job)
-            if route is None:
-                await asyncio.sleep(NO_ROUTE_PAUSE_SECONDS)
-                continue
-            service = self._splitter.pick(route)
-            back_end = await self._dispatcher.acquire(
+            async with routed_place(
+                self._dispatcher,
+                self._splitter,
+                partial(self._find_route, self.job),
                 self._rank,
-                service,
                 self.job.model,
                 self.job.min_version,
                 self._avoided,
                 self._is_long(),
-            )
-            try:
-                if self._still_allowed(service):
-                    result = await self._attempt(back_end, route)
-                    if result is not None:
-                        return result
-            finally:
-                self._dispatcher.release(back_end)
+            ) as (route, back_end):
+                result = await self._attempt(back_end, route)
+            if result is not None:
+                return result
 
     def _is_long(self) -> bool:
         """Whether the step is likely to wait for this item."""
         return self._is_expected_long or len(self.kept.events) >= LONG_RUN_EVENTS
 
-    def _still_allowed(self, service: str) -> bool:
-        """The configuration may have changed while the item waited."""
-        route = self._find_route(self.job)
-        return route is not None and any(share.service == service for share in route.shares)
-
     async def _attempt(self, back_end: BackEnd, route: Route) -> ItemResult | None:
         """One attempt; None when the item must go on."""
         self._avoided = ""
@@ -175,8 +169,8 @@
             return self._given_up()
         back_end.succeeded()
         self._log("item_done", back_end, "whole")
-        text = "\n".join(self.kept.events)
-        return ItemResult(self.item.id, True, text, list(self.kept.versions))
+        self.kept.whole = True
+        return whole_result(self.item, self.kept)
 
     def _given_up(self) -> ItemResult:
         return ItemResult(self.item.id, False)
--- a/src/crankseam/jobs/model.py
+++ b/src/crankseam/jobs/model.py
@@ -5,6 +5,19 @@
 import msgspec
 
 
+class ScoringRequest(msgspec.Struct, frozen=True):
+    """A request whose answer is the score of an item's text.
+
+    Attributes:
+        host, path: choose the route, and with it the service that is asked.
+    """
+
+    id: str
+    host: str
+    path: str
+    body: bytes
+
+
 class ItemDefinition(msgspec.Struct, frozen=True):
     """One generation of a job.
 
@@ -23,6 +36,8 @@
     group: str = ""
     length_hint: int = 0
     """Expected tokens of the output; 0 if not told, and often far off."""
+    scoring: ScoringRequest | None = None
+    """Asked once the text is whole; the item is completed only with its score."""
 
 
 class JobDefinition(msgspec.Struct, frozen=True):
@@ -50,12 +65,14 @@
     Attributes:
         completed: False when the item was given up.
         versions: weight versions that made an event of the text, in order of first use.
+        score: signature of the answer to the item's scoring request; empty without one.
     """
 
     id: str
     completed: bool
     text: str = ""
     versions: list[int] = []
+    score: str = ""
 
 
 class GeneratedEvent(msgspec.Struct, frozen=True):
@@ -67,10 +84,15 @@
 
 
 class PartialText(msgspec.Struct):
-    """The events of an item that were made so far, and the versions that made them."""
+    """The events of an item that were made so far, and the versions that made them.
+
+    Attributes:
+        whole: whether the last event was made; the item may still lack its score.
+    """
 
     events: list[str] = []
     versions: list[int] = []
+    whole: bool = False
 
     def take(self, event: GeneratedEvent) -> None:
         """Append the next event."""
@@ -82,3 +104,4 @@
         """Forget everything: the item starts anew."""
         self.events.clear()
         self.versions.clear()
+        self.whole = False
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -34,6 +34,8 @@
     is_long: bool = field(compare=False)
     """The step waits for it: it goes to the fastest samplers first."""
     place: asyncio.Future[BackEnd] = field(compare=False)
+    slots_share: float = field(compare=False, default=1.0)
+    """The part of a back end's slots that requests of this kind may fill."""
 
 
 Cost = tuple[bool, int, int, float, bool, float]
@@ -53,7 +55,9 @@
         classes: dict[str, int],
         behind: dict[str, int],
         slow: set[str],
+        slots_share: float,
     ) -> None:
+        self._slots_share = slots_share
         self._classes = classes
         self._behind = behind
         self._slow = slow
@@ -79,6 +83,9 @@
             self._lots[key],
         )
 
+    def _most(self, back_end: BackEnd) -> float:
+        return max(1.0, self._slots_share * slots_of(back_end))
+
     def best(self, avoided: str) -> BackEnd | None:
         """The best sampler with room; an avoided one only when there is no other."""
         put_aside: tuple[Cost, int, BackEnd] | None = None
@@ -86,7 +93,7 @@
         while self._heap and found is None:
             cost, _, back_end = heapq.heappop(self._heap)
             current = self._cost(back_end)
-            if back_end.expected_load(self._now) >= slots_of(back_end):
+            if back_end.expected_load(self._now) >= self._most(back_end):
                 continue
             entry = (current, next(self._numbers), back_end)
             if current > cost:
@@ -116,12 +123,18 @@
         self._paces = paces
         self._zone = zone
         self._now = time.monotonic()
-        self._queues: dict[tuple[str, str, int, bool], _Queue] = {}
+        self._queues: dict[tuple[str, str, int, bool, float], _Queue] = {}
         self._slow: dict[str, set[str]] = {}
 
     def take(self, request: PlaceRequest) -> BackEnd | None:
         """The sampler for a request; None while there is no room."""
-        need = (request.service, request.model, request.min_version, request.is_long)
+        need = (
+            request.service,
+            request.model,
+            request.min_version,
+            request.is_long,
+            request.slots_share,
+        )
         queue = self._queues.get(need)
         if queue is None:
             queue = self._queues[need] = self._make_queue(request)
@@ -139,7 +152,8 @@
         ]
         classes = self._paces.classes(candidates) if request.is_long else {}
         behind = _versions_behind(candidates, request.model) if request.is_long else {}
-        queue = _Queue(candidates, classes, behind, self._slow[request.service])
+        slow = self._slow[request.service]
+        queue = _Queue(candidates, classes, behind, slow, request.slots_share)
         queue.fill(self._zone, self._now)
         return queue
 
--- /dev/null
+++ b/src/crankseam/jobs/routed_place.py
@@ -0,0 +1,54 @@
+"""A place at a back end to which a route leads, also when routes change meanwhile."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import AsyncGenerator, Callable
+from contextlib import asynccontextmanager
+
+from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.serving.back_ends import BackEnd
+from crankseam.serving.routes import Route, TrafficSplitter
+
+NO_ROUTE_PAUSE_S = 0.2
+"""How often the newest configuration is asked for a route that is not there."""
+
+
+@asynccontextmanager
+async def routed_place(
+    dispatcher: Dispatcher,
+    splitter: TrafficSplitter,
+    find_route: Callable[[], Route | None],
+    rank: tuple[float, ...],
+    model: str = "",
+    min_version: int = 0,
+    avoided: str = "",
+    is_long: bool = False,
+    slots_share: float = 1.0,
+) -> AsyncGenerator[tuple[Route, BackEnd], None]:
+    """Wait for a place and give it back afterwards. See PlaceRequest.
+
+    Parameters
+    ==========
+
+    find_route : the route in the newest configuration; None while there is none.
+    """
+    route, back_end = None, None
+    while route is None or back_end is None:
+        route = find_route()
+        if route is None:
+            await asyncio.sleep(NO_ROUTE_PAUSE_S)
+            continue
+        service = splitter.pick(route)
+        back_end = await dispatcher.acquire(
+            rank, service, model, min_version, avoided, is_long, slots_share
+        )
+        # The configuration may have changed during the wait.
+        route = find_route()
+        if route is None or not route.leads_to(service):
+            dispatcher.release(back_end)
+            back_end = None
+    try:
+        yield route, back_end
+    finally:
+        dispatcher.release(back_end)
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -12,12 +12,10 @@
 from crankseam.backoff import Backoff
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.carried import MadeTexts
-from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ResultsConflict
-from crankseam.jobs.item_run import GenerationClient, ItemRun, RouteFinder
+from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.repository import JobRepository
-from crankseam.serving.routes import TrafficSplitter
 
 log = logging.getLogger(__name__)
 
@@ -38,7 +36,6 @@
 RETRY_CAP_SECONDS = 0.5
 SAVE_INTERVAL_SECONDS = 0.8
 RESTART_PAUSE_SECONDS = 0.5
-DEFAULT_QUEUE_SECONDS = 60.0
 GIVE_UP_MARGIN_SECONDS = 2.0
 LONG_FACTOR = 1.5
 """An item whose hint is this much above its job's median is a long one."""
@@ -51,7 +48,7 @@
         listed: results that are listed already, chunk by chunk.
         kept: texts of items that an earlier run has begun.
         finished: results that are known already and not listed.
-        find_route: the job's route in the newest configuration.
+        maker: makes the items' results.
     """
 
     def __init__(
@@ -61,17 +58,11 @@
         kept: dict[str, PartialText],
         finished: list[ItemResult],
         repository: JobRepository,
-        dispatcher: Dispatcher,
-        client: GenerationClient,
-        find_route: RouteFinder,
-        splitter: TrafficSplitter,
+        maker: ItemMaker,
     ) -> None:
         self.job = job
         self._repository = repository
-        self._dispatcher = dispatcher
-        self._client = client
-        self._find_route = find_route
-        self._splitter = splitter
+        self._maker = maker
         self._started_at = time.monotonic()
         self.accepted = asyncio.Event()
         """Nothing is listed or saved before the job lasts."""
@@ -160,7 +151,7 @@
             for item_id, text in self._kept.items()
             if text.events and item_id not in self._listed_ids
         }
-        made = sum(len(text.events) for text in texts.values())
+        made = sum(len(text.events) + text.whole for text in texts.values())
         if not texts or made == self._saved_events:
             return
         try:
@@ -214,23 +205,12 @@
 
     async def _result_of(self, index: int, item: ItemDefinition) -> ItemResult:
         rank = (self._started_at // SAME_TIME_SECONDS, -float(item.length_hint), float(index))
-        run = ItemRun(
-            self.job,
-            item,
-            rank,
-            self._find_route,
-            self._splitter,
-            self._dispatcher,
-            self._client,
-            self._kept[item.id],
-            item.length_hint > self._long_hint,
-        )
-        route = self._find_route(self.job)
-        max_queue = route.max_queue if route is not None else DEFAULT_QUEUE_SECONDS
-        limit = self._started_at + max_queue + GIVE_UP_MARGIN_SECONDS - time.monotonic()
+        is_long = item.length_hint > self._long_hint
+        longest_queue_s = self._maker.longest_queue_s(self.job)
+        limit = self._started_at + longest_queue_s + GIVE_UP_MARGIN_SECONDS - time.monotonic()
         try:
             async with asyncio.timeout(limit):
-                return await run.run()
+                return await self._maker.make(self.job, item, rank, self._kept[item.id], is_long)
         except TimeoutError:
             log.warning("item_given_up", extra={"job": self.job.id, "item": item.id})
             return ItemResult(item.id, False)
--- /dev/null
+++ b/src/crankseam/jobs/scoring.py
@@ -0,0 +1,187 @@
+"""Asks for the score of an item whose text is whole.
+
+The request goes by the routes in force and may be repeated: until a back end answers it, until so
+many back ends said that they ran it and failed, or until the job ends. It is sent only after the
+last event of the text is held, so its answer always belongs to that text.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from collections.abc import Callable
+from typing import Protocol
+
+from crankseam.backoff import Backoff
+from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.errors import ScoringFailed
+from crankseam.jobs.model import ItemDefinition, JobDefinition, ScoringRequest
+from crankseam.jobs.routed_place import routed_place
+from crankseam.serving.back_ends import BackEnd
+from crankseam.serving.messages import AttemptBroken, AttemptNotRun
+from crankseam.serving.routes import Route, TrafficSplitter
+
+log = logging.getLogger(__name__)
+
+SCORING_SLOTS_SHARE = 0.5
+"""Of a back end's slots, scoring requests fill so many at most: callers' requests use the same
+back ends and find the other half free, whatever burst of items ends at once."""
+PATIENCE_TARGETS = 3.0
+"""A back end has so many times the route's target latency to answer, and twice as long after each
+silence, up to the route's timeout: an answer that was lost is soon asked for elsewhere."""
+SHORTEST_PATIENCE_S = 0.5
+RETRY_BASE_S = 0.02
+RETRY_CAP_S = 0.5
+TURNED_AWAY_PAUSE_S = 0.1
+"""A back end that turned a scoring request away is left to callers for so long."""
+
+ScoringRouteFinder = Callable[[ScoringRequest], Route | None]
+
+
+class ScoringClient(Protocol):
+    """Sends scoring requests to back ends."""
+
+    async def score(self, back_end: BackEnd, request: ScoringRequest, deadline: float) -> str:
+        """The signature of the answer.
+
+        Args:
+            deadline: monotonic time at which the back end is to stop its work.
+
+        Raises:
+            AttemptNotRun, AttemptBroken, ScoringFailed
+        """
+
+
+class ItemScorer:
+    """The scoring requests of one process's jobs.
+
+    Parameters
+    ==========
+
+    find_route : the route of a scoring request in the newest configuration.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        client: ScoringClient,
+        find_route: ScoringRouteFinder,
+        splitter: TrafficSplitter,
+    ) -> None:
+        self._dispatcher = dispatcher
+        self._client = client
+        self._find_route = find_route
+        self._splitter = splitter
+
+    async def score(
+        self,
+        job: JobDefinition,
+        item: ItemDefinition,
+        request: ScoringRequest,
+        rank: tuple[float, ...],
+        job_attempts: int,
+    ) -> str | None:
+        """The score of an item; None when its scoring request failed too often.
+
+        Parameters
+        ==========
+
+        job_attempts : failures that the route of the job allows; the route of the scoring request
+            may allow more.
+        """
+        run = _ScoringRun(self._client, job, item, request)
+        while True:
+            async with routed_place(
+                self._dispatcher,
+                self._splitter,
+                lambda: self._find_route(request),
+                rank,
+                avoided=run.avoided,
+                slots_share=SCORING_SLOTS_SHARE,
+            ) as (route, back_end):
+                score = await run.attempt(route, back_end)
+            if score is not None:
+                return score
+            if run.may_give_up(max(route.max_attempts, job_attempts), back_end):
+                return None
+            await asyncio.sleep(run.backoff.next_delay())
+
+
+class _ScoringRun:
+    """One item's scoring request and what happened to it so far."""
+
+    def __init__(
+        self,
+        client: ScoringClient,
+        job: JobDefinition,
+        item: ItemDefinition,
+        request: ScoringRequest,
+    ) -> None:
+        self._client = client
+        self._job = job
+        self._item = item
+        self._request = request
+        self._failures = 0
+        self._silences = 0
+        self._started_at = time.monotonic()
+        self.avoided = ""
+        """Id of the back end that was asked last."""
+        self.backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S)
+
+    async def attempt(self, route: Route, back_end: BackEnd) -> str | None:
+        """One call; None when it gave no score."""
+        patience_s = self._patience_s(route)
+        self.avoided = back_end.record.id
+        self._log("scoring_sent", back_end, f"patience {patience_s:.2f} s")
+        try:
+            async with asyncio.timeout(patience_s):
+                deadline = time.monotonic() + patience_s
+                score = await self._client.score(back_end, self._request, deadline)
+        except AttemptNotRun as refusal:
+            back_end.was_full(TURNED_AWAY_PAUSE_S)
+            if refusal.wrong_instance:
+                back_end.failed()
+            self._log("scoring_turned_away", back_end, refusal.reason)
+            return None
+        except AttemptBroken as failure:
+            back_end.failed()
+            self._log("scoring_broken", back_end, failure.reason)
+            return None
+        except TimeoutError:
+            self._silences += 1
+            back_end.failed()
+            self._log("scoring_broken", back_end, "no answer in time")
+            return None
+        except ScoringFailed:
+            self._failures += 1
+            self._log("scoring_failed", back_end, f"failure {self._failures}")
+            return None
+        back_end.succeeded()
+        self._log("scoring_done", back_end, score)
+        return score
+
+    def may_give_up(self, most_failures: int, back_end: BackEnd) -> bool:
+        """Whether the request failed as often as the routes allow."""
+        if self._failures < most_failures:
+            return False
+        self._log("scoring_given_up", back_end, f"failure {self._failures}")
+        return True
+
+    def _patience_s(self, route: Route) -> float:
+        """How long the next back end has to answer."""
+        first_s = max(SHORTEST_PATIENCE_S, PATIENCE_TARGETS * route.target_latency)
+        return min(route.timeout, first_s * 2.0**self._silences)
+
+    def _log(self, event: str, back_end: BackEnd, reason: str) -> None:
+        log.info(
+            event,
+            extra={
+                "job": self._job.id,
+                "item": self._item.id,
+                "request": self._request.id,
+                "back_end": back_end.record.id,
+                "reason": reason,
+                "seconds": round(time.monotonic() - self._started_at, 3),
+            },
+        )
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -15,7 +15,8 @@
 from crankseam.jobs.claims import JobClaims
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import AcceptanceUnknown, JobUnknown
-from crankseam.jobs.item_run import GenerationClient, RouteFinder
+from crankseam.jobs.item_maker import ItemMaker
+from crankseam.jobs.item_run import RouteFinder
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.pace_sharing import PACE_PREFIX, PaceSharing
 from crankseam.jobs.peer_reads import OwnerClient
@@ -23,7 +24,6 @@
 from crankseam.jobs.repository import STATE_PREFIX, JobRepository
 from crankseam.jobs.runner import JobRunner
 from crankseam.jobs.running import RunningJobs
-from crankseam.serving.routes import TrafficSplitter
 from crankseam.serving.supervisor import Supervisor
 
 log = logging.getLogger(__name__)
@@ -40,6 +40,7 @@
     """The jobs of one process.
 
     Args:
+        maker: makes the items' results.
         find_route: a job's route in the newest configuration.
         watched: where watches are asked, if not of the store itself.
         owners: asks other processes for what they own, if they can be asked.
@@ -50,7 +51,7 @@
         store: CoordinationStore,
         process: str,
         dispatcher: Dispatcher,
-        client: GenerationClient,
+        maker: ItemMaker,
         find_route: RouteFinder,
         supervisor: Supervisor,
         watch_wait: float = WATCH_SECONDS,
@@ -59,9 +60,8 @@
     ) -> None:
         self._repository = JobRepository(store, process)
         self._dispatcher = dispatcher
-        self._client = client
+        self._maker = maker
         self._find_route = find_route
-        self._splitter = TrafficSplitter()
         self._supervisor = supervisor
         self._owners = owners
         self._reader = JobReader(self._repository)
@@ -103,10 +103,7 @@
             carried.partial | kept,
             list(carried.finished.values()),
             self._repository,
-            self._dispatcher,
-            self._client,
-            self._find_route,
-            self._splitter,
+            self._maker,
         )
 
     def _state_changed(self, key: str, entry: Entry | None) -> None:
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -135,6 +135,31 @@
     ),
     "item_given_up": LogEvent("It waited longer than its route allows.", ("job", "item")),
     "item_task_failed": LogEvent("A fault of the program; the item starts again.", ("job", "item")),
+    # --- scores of items
+    "scoring_sent": LogEvent(
+        "The text is whole; a back end is asked for its score.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
+    "scoring_done": LogEvent(
+        "The score is there; `reason` is its signature.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
+    "scoring_turned_away": LogEvent(
+        "The back end did not run the scoring request.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
+    "scoring_broken": LogEvent(
+        "No whole answer of its own; the request is repeated.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
+    "scoring_failed": LogEvent(
+        "The back end ran the scoring request and failed.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
+    "scoring_given_up": LogEvent(
+        "It failed as often as the routes allow; the item is lost.",
+        ("job", "item", "request", "back_end", "reason", "seconds"),
+    ),
     # --- orders
     "version_named": LogEvent("A trainer named a version.", ("model", "version")),
     "orders_won": LogEvent("This process may give orders after `pause`.", ("fence", "pause")),
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -47,6 +47,10 @@
     max_queue: float = 60.0
     """How long after its job was submitted an item may be given up."""
 
+    def leads_to(self, service: str) -> bool:
+        """Whether a part of the route's requests goes to a service."""
+        return any(share.service == service for share in self.shares)
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceDefinition:
--- a/tests/jobs/factories.py
+++ b/tests/jobs/factories.py
@@ -2,10 +2,12 @@
 
 import asyncio
 
+from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.model import GeneratedEvent, ItemDefinition, JobDefinition
+from crankseam.jobs.scoring import ItemScorer
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
 from crankseam.serving.messages import AttemptBroken
-from crankseam.serving.routes import RequestKind, Route, Share
+from crankseam.serving.routes import RequestKind, Route, Share, TrafficSplitter
 
 
 def make_job(job_id="j1", items=3, min_version=0):
@@ -76,6 +78,34 @@
             yield GeneratedEvent(number, f"{item.id}.{number}", self.version)
 
 
+class ScriptedScorers:
+    """A scoring client whose calls tests script: a signature, an exception, or seconds to wait."""
+
+    def __init__(self):
+        self.scripts = []
+        self.calls = []
+        """Back end and scoring request of each call."""
+
+    async def score(self, back_end, request, deadline):
+        self.calls.append((back_end.record.id, request.id))
+        step = self.scripts.pop(0) if self.scripts else f"stamp {len(self.calls)}"
+        if isinstance(step, Exception):
+            raise step
+        if isinstance(step, float):
+            await asyncio.sleep(step)
+            return "late"
+        return step
+
+
+def make_maker(dispatcher, samplers, scorers=None, find_route=lambda job: make_route()):
+    """An ItemMaker whose scoring requests go to the samplers' service."""
+    splitter = TrafficSplitter()
+    scorer = ItemScorer(
+        dispatcher, scorers or ScriptedScorers(), lambda request: make_route(), splitter
+    )
+    return ItemMaker(dispatcher, samplers, find_route, splitter, scorer)
+
+
 def events(first, last, version=1):
     return [GeneratedEvent(number, f"e{number}", version) for number in range(first, last + 1)]
 
--- a/tests/jobs/test_peer_reads.py
+++ b/tests/jobs/test_peer_reads.py
@@ -12,7 +12,13 @@
 from crankseam.jobs.service import JobService
 from crankseam.serving.supervisor import Supervisor
 from crankseam_standins.memory_store import MemoryStore
-from tests.jobs.factories import ScriptedSamplers, make_job, make_registry, make_route
+from tests.jobs.factories import (
+    ScriptedSamplers,
+    make_job,
+    make_maker,
+    make_registry,
+    make_route,
+)
 from tests.support.waiting import eventually
 
 
@@ -25,11 +31,12 @@
         self.asked = 0
         self.peer_reads = PeerReads(self._ask)
         self._processes = processes
+        dispatcher = Dispatcher(make_registry(), "z")
         self.jobs = JobService(
             store,
             name,
-            Dispatcher(make_registry(), "z"),
-            samplers,
+            dispatcher,
+            make_maker(dispatcher, samplers),
             lambda job: make_route(),
             self.supervisor,
             owners=self.peer_reads,
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -6,9 +6,8 @@
 from crankseam.jobs.model import ItemResult
 from crankseam.jobs.repository import JobRepository
 from crankseam.jobs.runner import JobRunner
-from crankseam.serving.routes import TrafficSplitter
 from crankseam_standins.memory_store import MemoryStore
-from tests.jobs.factories import ScriptedSamplers, make_job, make_registry, make_route
+from tests.jobs.factories import ScriptedSamplers, make_job, make_maker, make_registry
 from tests.support.waiting import eventually
 
 
@@ -19,10 +18,7 @@
         {},
         [],
         JobRepository(store or MemoryStore(), "a"),
-        Dispatcher(make_registry(), "z"),
-        ScriptedSamplers(),
-        lambda job: make_route(),
-        TrafficSplitter(),
+        make_maker(Dispatcher(make_registry(), "z"), ScriptedSamplers()),
     )
 
 
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -10,7 +10,13 @@
 from crankseam.jobs.service import JobService
 from crankseam.serving.supervisor import Supervisor
 from crankseam_standins.memory_store import MemoryStore
-from tests.jobs.factories import ScriptedSamplers, make_job, make_registry, make_route
+from tests.jobs.factories import (
+    ScriptedSamplers,
+    make_job,
+    make_maker,
+    make_registry,
+    make_route,
+)
 from tests.support.waiting import eventually
 
 
@@ -19,12 +25,12 @@
 
     def __init__(self, store, name, samplers):
         self.supervisor = Supervisor()
-        registry = make_registry()
+        dispatcher = Dispatcher(make_registry(), "z")
         self.jobs = JobService(
             store,
             name,
-            Dispatcher(registry, "z"),
-            samplers,
+            dispatcher,
+            make_maker(dispatcher, samplers),
             lambda job: make_route(),
             self.supervisor,
         )
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -22,7 +22,10 @@
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
 FILES.append(ROOT / "src/crankseam/machine_retirement.py")
-INDIRECT = {"item_run.py": {"job", "item", "back_end", "reason", "events", "seconds"}}
+INDIRECT = {
+    "item_run.py": {"job", "item", "back_end", "reason", "events", "seconds"},
+    "scoring.py": {"job", "item", "request", "back_end", "reason", "seconds"},
+}
 METHODS = {"info", "warning", "error", "exception"}
 
 
