--- a/src/crankseam/story.py
+++ b/src/crankseam/story.py
@@ -47,13 +47,14 @@
     for file in files:
         with file.open("rb") as opened:
             for raw in opened:
-                line = _decode(raw)
+                line = decode_line(raw)
                 if line is not None:
                     lines.append(line)
     return sorted(lines, key=lambda line: float(line["time"]))
 
 
-def _decode(raw: bytes) -> Line | None:
+def decode_line(raw: bytes) -> Line | None:
+    """One line of a log; None if it is none. What stands before the first brace is skipped."""
     start = raw.find(b"{")
     if start < 0:
         return None
--- a/src/crankseam_experiments/verb.py
+++ b/src/crankseam_experiments/verb.py
@@ -15,6 +15,7 @@
 from crankseam_experiments.comparison import run_comparison
 from crankseam_experiments.journal_plot import plot_journal
 from crankseam_experiments.latency import run_latency
+from crankseam_experiments.losses import read_jobs, read_report, tell_losses
 from crankseam_experiments.runner import run_processes
 from crankseam_experiments.scale import run_scale
 from crankseam_experiments.slopes import run_slopes
@@ -39,6 +40,9 @@
     journal = actions.add_parser("journal", help="plot the scores of the measured rounds")
     journal.add_argument("--folder", type=Path, default=Path("journal"))
     journal.add_argument("--out", type=Path, required=True, help="picture to write")
+    losses = actions.add_parser("losses", help="where a played day's worth went")
+    losses.add_argument("--report", type=Path, required=True, help="the day's report")
+    losses.add_argument("--log", type=Path, required=True, help="its log, of all machines")
     soak = actions.add_parser("soak", help="the deployed programs under drawn faults, no bench")
     soak.add_argument("--minutes", type=float, default=1.0)
     soak.add_argument("--seed", type=int, default=1)
@@ -57,6 +61,9 @@
     if arguments.action == "journal":
         print(json.dumps(plot_journal(arguments.folder, arguments.out), sort_keys=True))
         return exit_codes.OK
+    if arguments.action == "losses":
+        print(tell_losses(read_report(arguments.report), read_jobs(arguments.log)))
+        return exit_codes.OK
     spec = load_experiment(arguments.file)
     arguments.out.mkdir(parents=True, exist_ok=True)
     out = arguments.out.resolve()
