Few processes watch the store at any size; renewals of the lease keep a waiting watch fresh

Change: from four processes on two watch for all. A watch that waits at the store counts as confirmed by any other call that the store answered directly since, such as the renewal of the lease each 0.45 s; so a watcher's own watch lasts 0.7 of the time in which a change must be in force, and its readers still leave it after 0.4 of that time without such an answer.

--- a/src/crankseam/coordination/feed.py
+++ b/src/crankseam/coordination/feed.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from collections import deque
+from collections.abc import Callable
 
 from crankseam.coordination.interface import Changes, Entry, HistoryCompacted, Removal
 from crankseam.errors import KeyValueUnavailable
@@ -22,15 +23,22 @@
     The feed holds every change with a revision above ``start_revision`` and up to ``revision``.
     It is fresh while the follower behind it has been told lately, by the store, that there is
     nothing newer; a feed that is not fresh answers nobody, so that its readers turn to the store.
+    A watch that waits at the store is such word too, as of the last other call that the store
+    answered: the way is open, so news would have come.
 
     Parameters
     ==========
 
     max_age_s : seconds since the last confirmation up to which the feed answers.
+    answered_at : when the newest call was sent that the store answered this process directly.
     """
 
-    def __init__(self, max_age_s: float) -> None:
+    def __init__(
+        self, max_age_s: float, answered_at: Callable[[], float] = lambda: float("-inf")
+    ) -> None:
         self.max_age_s = max_age_s
+        self._answered_at = answered_at
+        self._watch_waits = False
         self.start_revision = 0
         self.revision = 0
         self._confirmed_at = float("-inf")
@@ -60,8 +68,23 @@
 
     def age_s(self) -> float:
         """Seconds since a call was sent whose answer showed the feed to be complete."""
+        if self._watch_waits:
+            self._confirm()
         return time.monotonic() - self._confirmed_at
 
+    def _confirm(self) -> None:
+        self._confirmed_at = max(self._confirmed_at, self._answered_at())
+
+    def watch_began(self) -> None:
+        """A watch from the newest revision waits at the store from now on."""
+        self._watch_waits = True
+
+    def watch_ended(self, answered: bool) -> None:
+        """The watch waits no longer; whether the store answered it."""
+        if self._watch_waits and answered:
+            self._confirm()
+        self._watch_waits = False
+
     def after(self, revision: int) -> list[Entry | Removal]:
         """Changes with a higher revision, in order.
 
--- a/src/crankseam/coordination/follower.py
+++ b/src/crankseam/coordination/follower.py
@@ -117,11 +117,16 @@
         asked_at = time.monotonic()
         watch = self._store.watch(self.prefix, self.revision, self._wait)
         self._watching = asyncio.create_task(watch)
+        if self.feed is not None:
+            self.feed.watch_began()
         try:
             longest = self._wait + ANSWER_SLACK_SECONDS
             done, _ = await asyncio.wait({self._watching}, timeout=longest)
         finally:
             self._watching.cancel()
+            if self.feed is not None:
+                answered = self._watching.done() and not self._watching.cancelled()
+                self.feed.watch_ended(answered and self._watching.exception() is None)
         if not done or self._watching.cancelled():
             return
         seen = self._watching.result()
--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -154,6 +154,8 @@
         self._failing_since: float | None = None
         self._probed_at = float("-inf")
         self._through_peers = False
+        self.answered_at = float("-inf")
+        """Monotonic time at which the newest call was sent that the store answered directly."""
 
     def is_direct_failing(self) -> bool:
         """Whether this process's own calls have failed for a while."""
@@ -212,6 +214,8 @@
             KeyValueOutcomeUnknown.__name__,
         )
         since = self._failing_since
+        if not failed:
+            self.answered_at = max(self.answered_at, began_at)
         if not failed and (since is None or began_at >= since):
             if self._through_peers:
                 log.info("store_direct_again")
--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -34,13 +34,14 @@
 
 PROCESSES_PER_WATCHER = 40
 FEWEST_WATCHERS = 2
-FEWEST_PROCESSES = 13
+FEWEST_PROCESSES = 4
 """Below this each process watches by itself: there is little to save."""
 FRESH_SHARE = 0.4
 """Of the time in which a change must be in force, so much may pass before a reader of a watcher
 that has lost the store turns to the store itself."""
-WATCH_SHARE = 0.5
-"""A watcher's own watch ends after this share of the time for which its feed counts as fresh."""
+WATCH_SHARE = 0.7
+"""Of the same time, a watcher's own watch lasts so much at most: it may have been deaf to a
+change, which a reader must still learn of in time."""
 ANSWER_SLACK_S = 0.3
 AVOID_S = 2.0
 """A watcher that did not answer is not asked again for so long."""
@@ -89,7 +90,7 @@
     ========
 
     >>> [watcher_count(n) for n in (7, 13, 68, 420)]
-    [7, 2, 2, 11]
+    [2, 2, 2, 11]
     """
     if processes < FEWEST_PROCESSES:
         return processes
@@ -123,6 +124,7 @@
     process : this process's name.
     ask : sends a question to a peer.
     in_force_s : seconds within which a change must be in force at a process.
+    answered_at : when the newest call was sent that the store answered this process directly.
     """
 
     def __init__(
@@ -132,18 +134,21 @@
         process: str,
         ask: PeerAsker,
         in_force_s: float,
+        answered_at: Callable[[], float],
     ) -> None:
         self._store = store
         self._processes = processes
         self._process = process
         self._ask = ask
         self._fresh_s = in_force_s * FRESH_SHARE
+        self._watch_s = in_force_s * WATCH_SHARE
+        self._answered_at = answered_at
         self._followers: dict[str, PrefixFollower] = {}
         self._avoid_until: dict[str, float] = {}
 
     def share(self, follower: PrefixFollower) -> None:
         """Let others follow what a follower of this process takes."""
-        follower.feed = PrefixFeed(self._fresh_s)
+        follower.feed = PrefixFeed(self._fresh_s, self._answered_at)
         self._followers[follower.prefix] = follower
 
     def _watchers(self) -> list[Peer]:
@@ -205,14 +210,14 @@
         return await self._store.watch(prefix, after_revision, wait)
 
     async def _watch_for_all(self, prefix: str, after_revision: int, wait: float) -> Changes:
-        """Watch the store; shortly while others rely on it.
+        """Watch the store; not so long while others rely on it.
 
         The store answers a watch without changes only when its wait is over, so such an answer
         holds for that time after it was asked for.
         """
         if not self._has_readers():
             return await self._store.watch(prefix, after_revision, wait)
-        wait_s = min(wait, self._fresh_s * WATCH_SHARE)
+        wait_s = min(wait, self._watch_s)
         asked_at = time.monotonic()
         seen = await self._store.watch(prefix, after_revision, wait_s)
         if seen.changes:
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -125,3 +125,13 @@
     assert relayed.is_direct_failing()
     own.error = None
     await relayed.get("a/1")
+
+
+async def test_only_what_the_store_answered_directly_tells_that_the_way_is_open(two):
+    _, (own, _), relayed = two
+    await relayed.get("a/1")
+    answered_at = relayed.answered_at
+    assert answered_at > float("-inf")
+    own.error = KeyValueUnavailable("refused")
+    await relayed.get("a/1")
+    assert relayed.answered_at == answered_at, "a peer's word"
