Samplers load a version when a job needs it, a part of them each time

Ruled out: fewer at a time (the wave would not end before the next version); later loads (the same). Change: a job names the oldest version that may serve it; a sampler is due when the newest job can't use it, at once, and beside those so many load that a part of 1 / (lag + 1) carries the newest version: with a lag of one version each load serves two jobs.

--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -1,4 +1,4 @@
-"""How many items of each model want to run: what samplers must carry its newest version for."""
+"""What the open jobs of each model need: how many items run, and the oldest version that may."""
 
 from __future__ import annotations
 
@@ -16,6 +16,7 @@
 
     model: str = ""
     items: int = 0
+    min_version: int = 0
 
 
 def decode_open_job(value: bytes) -> OpenJob:
@@ -33,10 +34,12 @@
         self._open: dict[str, OpenJob] = {}
         self._peaks: dict[str, tuple[int, float]] = {}
         """Items and the monotonic time at which so many were open last."""
+        self._needed: dict[str, int] = {}
 
     def opened(self, job_id: str, job: OpenJob) -> None:
         """A job is open."""
         self._open[job_id] = job
+        self._needed[job.model] = max(self._needed.get(job.model, 0), job.min_version)
         self._note(job.model)
 
     def ended(self, job_id: str) -> None:
@@ -63,3 +66,7 @@
         """The most items lately; None if none was seen."""
         peak, _ = self._peaks.get(model, (0, 0.0))
         return peak or None
+
+    def needed_version(self, model: str) -> int | None:
+        """The oldest version that may serve the model's newest job; None if none was seen."""
+        return self._needed.get(model)
--- a/src/crankseam/jobs/repository.py
+++ b/src/crankseam/jobs/repository.py
@@ -105,7 +105,7 @@
         for put in puts[1:]:
             await self._store.commit(Transaction(puts=[put]))
         head = msgspec.msgpack.encode(JobHead(len(parts), self.process))
-        opened = msgspec.msgpack.encode(OpenJob(job.model, len(job.items)))
+        opened = msgspec.msgpack.encode(OpenJob(job.model, len(job.items), job.min_version))
         final = [puts[0], Put(prefix + "head", head), Put(OPEN_PREFIX + job.id, opened)]
         if lease:
             final.append(Put(OWNER_PREFIX + job.id, self.process.encode(), lease))
--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -4,11 +4,13 @@
 
 import asyncio
 import logging
+import math
 import random
 import time
 from collections import Counter
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Protocol
 
 from crankseam.orders.assignment import assign, loads_at_once
 from crankseam.orders.holder import OrderHolder
@@ -50,13 +52,31 @@
     task: asyncio.Task[None]
 
 
+class Demand(Protocol):
+    """What the open jobs of each model need."""
+
+    def items_of(self, model: str) -> int | None:
+        """How many items want to run at once; None if that is not known."""
+
+    def needed_version(self, model: str) -> int | None:
+        """The oldest version that may serve the newest job; None if that is not known."""
+
+
+class _NoDemand:
+    def items_of(self, model: str) -> int | None:
+        return None
+
+    def needed_version(self, model: str) -> int | None:
+        return None
+
+
 class VersionCoordinator:
     """Runs in every process; only the holder of the right gives orders.
 
     Args:
         running_requests: what is done with a model's running requests.
         paces: how fast samplers are, if that is known.
-        items_of: how many items of a model want to run at once, if that is known.
+        demand: what the models' open jobs need, if that is known.
     """
 
     def __init__(
@@ -67,14 +87,14 @@
         process: str,
         running_requests: Callable[[str], RunningRequests],
         paces: SamplerPaces | None = None,
-        items_of: Callable[[str], int | None] = lambda model: None,
+        demand: Demand | None = None,
     ) -> None:
         self._registry = registry
         self._control = control
         self._holder = holder
         self._process = process
         self._running_requests = running_requests
-        self._items_of = items_of
+        self._demand = demand if demand is not None else _NoDemand()
         self._paces = paces if paces is not None else SamplerPaces()
         self._named: dict[str, int] = {}
         self._named_at: dict[str, float] = {}
@@ -147,17 +167,35 @@
             self._start(back_end, model)
 
     def _lagging(self, assigned: dict[str, list[BackEnd]]) -> list[tuple[BackEnd, str]]:
-        """Samplers that are to carry a newer version, those with least work first."""
-        now = time.monotonic()
+        """Samplers that are to load a newer version now, those with least work first."""
         found = [
             (back_end, model)
             for model, back_ends in assigned.items()
-            if self._load_from[model] <= now
-            for back_end in back_ends
-            if back_end.version_of(model) < self._named[model]
+            for back_end in self._due(model, back_ends)
         ]
         return sorted(found, key=self._order_cost)
 
+    def _due(self, model: str, back_ends: list[BackEnd]) -> list[BackEnd]:
+        """Samplers that can't serve the newest job, and some others: not all may come due at once.
+
+        Where jobs may be served by a version that is `lag` older than the newest, each load serves
+        `lag` + 1 jobs, so that a part of the samplers loads each version and the others go on.
+        """
+        named = self._named[model]
+        needed = self._demand.needed_version(model)
+        usable_from = min(named, needed) if needed is not None else named
+        behind = [one for one in back_ends if one.version_of(model) < named]
+        due = [one for one in behind if one.version_of(model) < usable_from]
+        if self._load_from[model] > time.monotonic():
+            return due
+        share = math.ceil(len(back_ends) / (named - usable_from + 1))
+        missing = share - (len(back_ends) - len(behind)) - len(due)
+        usable = sorted(
+            (one for one in behind if one.version_of(model) >= usable_from),
+            key=lambda one: self._order_cost((one, model)),
+        )
+        return due + usable[: max(0, missing)]
+
     def _current_assignment(self) -> dict[str, list[BackEnd]]:
         """Worked out now and then: at thousands of samplers it takes a while."""
         now = time.monotonic()
@@ -183,7 +221,7 @@
             carried = {model for one in back_ends for model in one.record.versions}
             models = {model: self._named.get(model, 0) for model in carried}
             classes = self._paces.classes(back_ends)
-            items = {model: count for model in models if (count := self._items_of(model))}
+            items = {model: count for model in models if (count := self._demand.items_of(model))}
             for model, chosen in assign(back_ends, models, classes, items).items():
                 if model in assigned:
                     assigned[model].extend(chosen)
--- a/tests/jobs/test_demand.py
+++ b/tests/jobs/test_demand.py
@@ -21,3 +21,12 @@
 
 def test_a_value_that_can_not_be_read_tells_nothing():
     assert decode_open_job(b"") == decode_open_job(b"\xc1") == OpenJob()
+
+
+def test_the_newest_jobs_oldest_version_counts_whatever_job_ends_first():
+    demand = ModelDemand()
+    assert demand.needed_version("m") is None
+    demand.opened("j2", OpenJob("m", 5, min_version=4))
+    demand.opened("j1", OpenJob("m", 5, min_version=3))
+    demand.ended("j2")
+    assert demand.needed_version("m") == 4 and demand.needed_version("other") is None
--- a/tests/orders/test_version_coordinator.py
+++ b/tests/orders/test_version_coordinator.py
@@ -38,7 +38,20 @@
         self.loading[back_end.record.id] = order.model
 
 
-def coordinator_of(samplers, models):
+class Demand:
+    """Jobs that any version from `needed` on may serve."""
+
+    def __init__(self, needed):
+        self.needed = needed
+
+    def items_of(self, model):
+        return None
+
+    def needed_version(self, model):
+        return self.needed
+
+
+def coordinator_of(samplers, models, demand=None):
     registry = BackEndRegistry()
     for number in range(samplers):
         versions = dict.fromkeys(models, 1)
@@ -47,7 +60,9 @@
         )
     loads = Loads()
     running = RunningRequests.BREAK_OFF
-    return VersionCoordinator(registry, loads, Holder(), "p", lambda _: running), loads
+    return VersionCoordinator(
+        registry, loads, Holder(), "p", lambda _: running, demand=demand
+    ), loads
 
 
 @pytest.mark.parametrize(("samplers", "models", "at_once"), [(5, 2, 2), (6, 1, 2), (23, 3, 6)])
@@ -81,3 +96,43 @@
         assert loads.loading.keys() <= carriers - fast, "slow ones are loaded first"
     finally:
         running.cancel()
+
+
+def due_ids(coordinator, model="a"):
+    coordinator._load_from[model] = 0.0
+    back_ends = coordinator._registry.of_service("svc")
+    return [one.record.id for one in coordinator._due(model, back_ends)]
+
+
+async def test_where_jobs_allow_an_older_version_a_part_of_the_samplers_loads_each():
+    """A load that serves two jobs is needed half as often, and breaks off half as many runs."""
+    demand = Demand(needed=1)
+    coordinator, _ = coordinator_of(6, MODELS[:1], demand)
+    coordinator.version_named("a", 2)
+    first = due_ids(coordinator)
+    assert len(first) == 3, "half, so that not all come due at once"
+    for key in first:
+        coordinator._registry.by_id(key).observed_versions["a"] = 2
+    assert due_ids(coordinator) == []
+    demand.needed = 2
+    coordinator.version_named("a", 3)
+    second = due_ids(coordinator)
+    assert set(second) == {f"i-{number:02d}" for number in range(6)} - set(first)
+
+
+async def test_a_sampler_that_can_not_serve_the_newest_job_loads_without_delay():
+    coordinator, _ = coordinator_of(6, MODELS[:1], Demand(needed=2))
+    coordinator.version_named("a", 3)
+    back_ends = coordinator._registry.of_service("svc")
+    back_ends[0].observed_versions["a"] = 2
+    assert coordinator._load_from["a"] > 0.0 and back_ends[0] not in coordinator._due(
+        "a", back_ends
+    )
+    assert len(coordinator._due("a", back_ends)) == 5
+
+
+@pytest.mark.parametrize("needed", [2, 7, None])
+async def test_without_an_older_version_allowed_all_samplers_load(needed):
+    coordinator, _ = coordinator_of(6, MODELS[:1], Demand(needed))
+    coordinator.version_named("a", 2)
+    assert len(due_ids(coordinator)) == 6
