Runs ask for a place at a faster sampler and keep theirs until it is granted

Ruled out: a second run elsewhere (a sampler's pace does not change by chance). Change: a run puts a wish; when a place at a faster sampler gets free, the longest run is granted it, taken already, and leaves its own place to an item that waits. This replaces the look for free room. Tests: has_faster_place is gone, its cases ask for what is granted instead; that nothing is granted while items wait is the behaviour that changed, its test now says that the longest run goes first.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -5,19 +5,28 @@
 import asyncio
 import heapq
 import itertools
-import time
+from dataclasses import dataclass
 
-from crankseam.jobs.places import PlacementRound, PlaceRequest, slots_of
+from crankseam.jobs.move_wishes import MoveWish, MoveWishes
+from crankseam.jobs.places import PlacementRound, PlaceRequest
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.paces import SLOW_FACTOR, SamplerPaces
 
 LOOK_AGAIN_SECONDS = 0.05
-FASTEST_KEPT_S = 0.2
-"""The order of samplers by pace is worked out anew after this."""
 LONG_RUN_SLOW_FACTOR = 1.2
 """Long runs, which the step waits for, leave for a sampler that is faster by this."""
 
 
+@dataclass(frozen=True, slots=True)
+class MoveNeed:
+    """What a run that would move needs; `events` is how many it has made."""
+
+    model: str
+    min_version: int
+    is_long: bool
+    events: int
+
+
 class Dispatcher:
     """One queue for the process. Samplers are filled up to their slots, not beyond.
 
@@ -34,9 +43,8 @@
         self._waiting: list[PlaceRequest] = []
         self._numbers = itertools.count()
         self._wake = asyncio.Event()
-        self._fastest: dict[str, tuple[float, list[tuple[float, BackEnd]]]] = {}
-        """Samplers by pace and when that was worked out, by service."""
         self.paces = paces if paces is not None else SamplerPaces()
+        self._wishes = MoveWishes(registry, self.paces)
         registry.on_change.append(self._wake.set)
 
     async def run(self) -> None:
@@ -81,6 +89,7 @@
         self._wake.set()
 
     def _give_places(self) -> None:
+        self._wishes.give()
         round_ = PlacementRound(self._registry, self.paces, self._zone)
         left: list[PlaceRequest] = []
         while self._waiting:
@@ -103,45 +112,38 @@
         """Whether its events take much longer than those of its service's other samplers."""
         return self.paces.is_slow(back_end, self._registry.of_service(back_end.record.service))
 
-    def has_faster_place(
-        self, back_end: BackEnd, model: str, min_version: int, is_long: bool
-    ) -> bool:
-        """Whether a run would find room at a much faster sampler, a long run at a faster one.
+    # --- moves
+
+    def wish_to_move(
+        self, wish: MoveWish | None, back_end: BackEnd, need: MoveNeed
+    ) -> MoveWish | None:
+        """Ask for a place at a much faster sampler, for a long run at a faster one.
 
         The paces of others must be known: an unknown one is no promise.
+
+        Parameters
+        ==========
+
+        wish : the run's wish so far, which is brought up to date.
+        back_end : where the run is now.
         """
         steady_s, recent_s = self.paces.steady_s(back_end), self.paces.recent_s(back_end)
         if steady_s is None or recent_s is None:
-            return False
-        fast_enough_s = recent_s / SLOW_FACTOR
-        if is_long and not self._is_awaited(back_end.record.service, model):
-            fast_enough_s = max(fast_enough_s, steady_s / LONG_RUN_SLOW_FACTOR)
-        faster = itertools.takewhile(
-            lambda pair: pair[0] < fast_enough_s,
-            self._fastest_first(back_end.record.service),
-        )
-        return any(self._has_room(other, model, min_version) for _, other in faster)
-
-    def _fastest_first(self, service: str) -> list[tuple[float, BackEnd]]:
-        """See SamplerPaces; worked out now and then, since each event of each run asks."""
-        now = time.monotonic()
-        worked_out_at, found = self._fastest.get(service, (float("-inf"), []))
-        if now - worked_out_at > FASTEST_KEPT_S:
-            found = self.paces.fastest_first(self._registry.of_service(service))
-            self._fastest[service] = (now, found)
-        return found
-
-    def _is_awaited(self, service: str, model: str) -> bool:
-        """Whether items wait for a place: what is free is about to be taken."""
-        return any(
-            waiting.service == service and waiting.model == model and not waiting.place.done()
-            for waiting in self._waiting
-        )
-
-    def _has_room(self, back_end: BackEnd, model: str, min_version: int) -> bool:
-        now = time.monotonic()
-        if back_end.avoid_until > now or not self._registry.is_current(back_end):
-            return False
-        if back_end.expected_load(now) >= slots_of(back_end) - 1:
-            return False
-        return not model or back_end.version_of(model) >= min_version
+            return wish
+        faster_than_s = recent_s / SLOW_FACTOR
+        if need.is_long:
+            faster_than_s = max(faster_than_s, steady_s / LONG_RUN_SLOW_FACTOR)
+        if wish is None:
+            service = back_end.record.service
+            wish = MoveWish(service, need.model, need.min_version, faster_than_s, need.events)
+        wish.faster_than_s, wish.events = faster_than_s, need.events
+        self._wishes.put(wish)
+        return wish
+
+    def end_wish(self, wish: MoveWish) -> BackEnd | None:
+        """End a wish; the place that it was granted must be released by the caller."""
+        return self._wishes.withdraw(wish)
+
+    def is_current(self, back_end: BackEnd) -> bool:
+        """Whether new work may be sent to this back end now."""
+        return self._registry.is_current(back_end)
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -10,7 +10,7 @@
 from functools import partial
 from typing import Protocol
 
-from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.dispatcher import Dispatcher, MoveNeed
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.model import (
     GeneratedEvent,
@@ -19,6 +19,7 @@
     JobDefinition,
     PartialText,
 )
+from crankseam.jobs.move_wishes import MoveWish
 from crankseam.jobs.routed_place import routed_place
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
@@ -111,10 +112,20 @@
         self._moved_at = float("-inf")
         self._look_again_at = float("-inf")
         self._avoided = ""
+        self._wish: MoveWish | None = None
         self._single_version = False
 
     async def run(self) -> ItemResult:
         """Try until the item is whole or must be given up."""
+        try:
+            return await self._run()
+        finally:
+            unused = self._end_wish()
+            if unused is not None:
+                self._dispatcher.release(unused)
+
+    async def _run(self) -> ItemResult:
+        reserved: BackEnd | None = None
         while True:
             async with routed_place(
                 self._dispatcher,
@@ -125,10 +136,17 @@
                 self.job.min_version,
                 self._avoided,
                 self._is_long(),
+                reserved=reserved,
             ) as (route, back_end):
                 result = await self._attempt(back_end, route)
             if result is not None:
                 return result
+            reserved = self._end_wish()
+
+    def _end_wish(self) -> BackEnd | None:
+        """End the wish to move; the place that it was granted, if it was."""
+        wish, self._wish = self._wish, None
+        return self._dispatcher.end_wish(wish) if wish is not None else None
 
     def _is_long(self) -> bool:
         """Whether the step is likely to wait for this item."""
@@ -231,11 +249,14 @@
 
     def _move_if_slow(self, back_end: BackEnd) -> None:
         now = time.monotonic()
-        if now - self._moved_at < MOVE_COOLDOWN_SECONDS or now < self._look_again_at:
+        if now - self._moved_at < MOVE_COOLDOWN_SECONDS:
             return
-        self._look_again_at = now + MOVE_LOOK_S
-        if self._dispatcher.has_faster_place(
-            back_end, self.job.model, self.job.min_version, self._is_long()
-        ):
-            self._moved_at = time.monotonic()
+        if now >= self._look_again_at:
+            self._look_again_at = now + MOVE_LOOK_S
+            need = MoveNeed(
+                self.job.model, self.job.min_version, self._is_long(), len(self.kept.events)
+            )
+            self._wish = self._dispatcher.wish_to_move(self._wish, back_end, need)
+        if self._wish is not None and self._wish.granted is not None:
+            self._moved_at = now
             raise _MoveAway
--- a/src/crankseam/jobs/routed_place.py
+++ b/src/crankseam/jobs/routed_place.py
@@ -25,6 +25,7 @@
     avoided: str = "",
     is_long: bool = False,
     slots_share: float = 1.0,
+    reserved: BackEnd | None = None,
 ) -> AsyncGenerator[tuple[Route, BackEnd], None]:
     """Wait for a place and give it back afterwards. See PlaceRequest.
 
@@ -32,8 +33,16 @@
     ==========
 
     find_route : the route in the newest configuration; None while there is none.
+    reserved : a place that was taken already; used if it still serves.
     """
-    route, back_end = None, None
+    route, back_end = find_route(), reserved
+    if back_end is not None and not (
+        route is not None
+        and route.leads_to(back_end.record.service)
+        and dispatcher.is_current(back_end)
+    ):
+        dispatcher.release(back_end)
+        back_end = None
     while route is None or back_end is None:
         route = find_route()
         if route is None:
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -3,7 +3,7 @@
 import pytest
 
 from crankseam.jobs import item_run
-from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.dispatcher import Dispatcher, MoveNeed
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.item_run import ItemRun
 from crankseam.jobs.model import PartialText
@@ -18,6 +18,7 @@
     make_registry,
     make_route,
 )
+from tests.support.waiting import eventually
 
 
 @pytest.fixture
@@ -121,6 +122,16 @@
     assert samplers.attempts[0][0] == "s0"
 
 
+def granted(dispatcher, back_end, min_version=0, is_long=False):
+    """The sampler to which a run would move right now; its place is released again."""
+    need = MoveNeed("m", min_version, is_long, events=20)
+    wish = dispatcher.wish_to_move(None, back_end, need)
+    place = dispatcher.end_wish(wish) if wish is not None else None
+    if place is not None:
+        dispatcher.release(place)
+    return place
+
+
 async def test_very_fast_samplers_are_all_alike():
     registry = make_registry(3)
     dispatcher = Dispatcher(registry, "z")
@@ -128,7 +139,7 @@
     for one, pace in zip(back_ends, [0.004, 0.00001, 0.00002], strict=True):
         dispatcher.paces.seen(one, pace)
     assert not dispatcher.is_slow(back_ends[0])
-    assert not dispatcher.has_faster_place(back_ends[0], "m", 0, True)
+    assert not granted(dispatcher, back_ends[0], is_long=True)
 
 
 async def test_a_run_leaves_a_slow_sampler_when_others_have_room():
@@ -138,12 +149,12 @@
     for one, pace in zip(back_ends, [0.2, 0.04, 0.04, 0.05], strict=True):
         dispatcher.paces.seen(one, pace)
     assert dispatcher.is_slow(back_ends[0]) and not dispatcher.is_slow(back_ends[3])
-    assert dispatcher.has_faster_place(back_ends[0], "m", 0, False)
-    assert not dispatcher.has_faster_place(back_ends[3], "m", 0, False)
-    assert not dispatcher.has_faster_place(back_ends[0], "m", 2, False), "none carries version 2"
+    assert granted(dispatcher, back_ends[0]) in back_ends[1:]
+    assert not granted(dispatcher, back_ends[3])
+    assert not granted(dispatcher, back_ends[0], min_version=2), "none carries version 2"
     for one in back_ends[1:]:
         one.in_flight = 4
-    assert not dispatcher.has_faster_place(back_ends[0], "m", 0, False)
+    assert not granted(dispatcher, back_ends[0])
 
 
 @pytest.mark.parametrize(("warm_up_s", "is_known"), [(1000.0, False), (0.0, True)])
@@ -157,3 +168,38 @@
     assert (await run_item(samplers, registry=registry, paces=paces)).completed
     (back_end,) = registry.of_service("llm")
     assert (paces.steady_s(back_end) is not None) == is_known
+
+
+async def test_a_run_that_turns_out_long_moves_while_others_wait_and_leaves_them_its_place(
+    samplers, monkeypatch
+):
+    """Until the burst of a step is over, every place that gets free was another item's."""
+    monkeypatch.setattr("crankseam.jobs.item_run.WARM_UP_S", 0.0)
+    monkeypatch.setattr("crankseam.jobs.item_run.MOVE_LOOK_S", 0.0)
+    registry = make_registry(2)
+    slow, fast = registry.of_service("llm")
+    slow.in_flight, fast.in_flight = 3, 4
+    dispatcher = Dispatcher(registry, "z")
+    for one, pace in ((slow, 0.06), (fast, 0.04)):
+        dispatcher.paces.seen(one, pace)
+    task = asyncio.create_task(dispatcher.run())
+    long_one = [step for event in events(1, 40) for step in (event, 0.01)]
+    samplers.scripts = [long_one, events(30, 31)]
+    job = make_job()
+    run = ItemRun(
+        job, job.items[0], (0.0,), lambda job: make_route(), TrafficSplitter(), dispatcher,
+        samplers, PartialText(),
+    )  # fmt: skip
+    running = asyncio.create_task(run.run())
+    try:
+        await eventually(lambda: len(run.kept.events) > 14)
+        waiting = asyncio.create_task(dispatcher.acquire((9.0,), "llm", "m", 0))
+        await asyncio.sleep(0)
+        dispatcher.release(fast)
+        assert await waiting is slow
+        assert [one for one, _, _ in samplers.attempts] == ["s0", "s1"]
+    finally:
+        running.cancel()
+        await asyncio.gather(running, return_exceptions=True)
+        task.cancel()
+    assert fast.in_flight == 3 and slow.in_flight == 4, "the waiting item's place and no other"
