Results of groups that are not whole are listed after 2 s

Cause: a trainer counts whole groups. Parts of groups were listed each 0.5 s, and each answered a read that had waited, after which the trainer pauses: a group that got whole meanwhile waited for the next read. Change: parts are listed after 2 s, whole groups after 0.08 s as before.

--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -21,7 +21,7 @@
 
 GROUP_LISTED_S = 0.08
 """Results that complete a group are listed after this: whole groups are what a step waits for."""
-PART_LISTED_S = 0.5
+PART_LISTED_S = 2.0
 """Results made within this time are listed by one write, whole groups or not."""
 SINGLE_LISTED_S = 0.25
 """The same for jobs whose items have no groups: each counts by itself."""
