--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -41,6 +41,9 @@
 """Right after its first event a run waits for others' prompts; that says nothing of the pace."""
 LONG_RUN_EVENTS = 12
 """A run of more events is likely to be among those that the step waits for."""
+FRESH_SLOTS_SHARE = 0.84
+"""Items that have not begun leave the other slots to runs that were broken off, and to long ones:
+those are what a step waits for, and would else wait for a short one's end."""
 FULL_PAUSE_SECONDS = 0.05
 LOADING_PAUSE_SECONDS = 0.3
 """A sampler that had room but turned an item away loads a version."""
@@ -136,6 +139,7 @@
                 self.job.min_version,
                 self._avoided,
                 self._is_long(),
+                self._slots_share(),
                 reserved=reserved,
             ) as (route, back_end):
                 result = await self._attempt(back_end, route)
@@ -143,6 +147,10 @@
                 return result
             reserved = self._end_wish()
 
+    def _slots_share(self) -> float:
+        """What part of a sampler's slots this run may fill."""
+        return 1.0 if self.kept.events or self._is_long() else FRESH_SLOTS_SHARE
+
     def _end_wish(self) -> BackEnd | None:
         """End the wish to move; the place that it was granted, if it was."""
         wish, self._wish = self._wish, None
