A single-version text goes on only at samplers of its version

Change: places and moves for such a text are asked of samplers that carry its version; only when none does the text begins anew. Tests: both cases failed before.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -25,6 +25,8 @@
     min_version: int
     is_long: bool
     events: int
+    only_version: int = 0
+    """See PlaceRequest."""
 
 
 class Dispatcher:
@@ -67,12 +69,22 @@
         avoided: str = "",
         is_long: bool = False,
         slots_share: float = 1.0,
+        only_version: int = 0,
     ) -> BackEnd:
         """Wait for a place; the caller must release it. See PlaceRequest."""
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._numbers)
         request = PlaceRequest(
-            rank, number, service, model, min_version, avoided, is_long, place, slots_share
+            rank,
+            number,
+            service,
+            model,
+            min_version,
+            avoided,
+            is_long,
+            place,
+            slots_share,
+            only_version,
         )
         heapq.heappush(self._waiting, request)
         self._wake.set()
@@ -135,7 +147,14 @@
             faster_than_s = max(faster_than_s, steady_s / LONG_RUN_SLOW_FACTOR)
         if wish is None:
             service = back_end.record.service
-            wish = MoveWish(service, need.model, need.min_version, faster_than_s, need.events)
+            wish = MoveWish(
+                service,
+                need.model,
+                need.min_version,
+                need.only_version,
+                faster_than_s,
+                need.events,
+            )
         wish.faster_than_s, wish.events = faster_than_s, need.events
         self._wishes.put(wish)
         return wish
@@ -144,6 +163,10 @@
         """End a wish; the place that it was granted must be released by the caller."""
         return self._wishes.withdraw(wish)
 
+    def is_carried(self, service: str, model: str, version: int) -> bool:
+        """Whether a sampler of a service carries this very version of a model."""
+        return any(one.version_of(model) == version for one in self._registry.of_service(service))
+
     def is_current(self, back_end: BackEnd) -> bool:
         """Whether new work may be sent to this back end now."""
         return self._registry.is_current(back_end)
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -140,6 +140,7 @@
                 self._avoided,
                 self._is_long(),
                 self._slots_share(),
+                self._only_version(),
                 reserved=reserved,
             ) as (route, back_end):
                 result = await self._attempt(back_end, route)
@@ -147,6 +148,18 @@
                 return result
             reserved = self._end_wish()
 
+    def _only_version(self) -> int:
+        """The one version that may go on with the text; 0 if any may, or the text begins anew."""
+        route = self._find_route(self.job)
+        if route is None or not route.single_version or not self.kept.versions:
+            return 0
+        (version,) = self.kept.versions[-1:]
+        services = [share.service for share in route.shares]
+        if any(self._dispatcher.is_carried(one, self.job.model, version) for one in services):
+            return version
+        self.kept.clear()
+        return 0
+
     def _slots_share(self) -> float:
         """What part of a sampler's slots this run may fill."""
         return 1.0 if self.kept.events or self._is_long() else FRESH_SLOTS_SHARE
@@ -262,7 +275,11 @@
         if now >= self._look_again_at:
             self._look_again_at = now + MOVE_LOOK_S
             need = MoveNeed(
-                self.job.model, self.job.min_version, self._is_long(), len(self.kept.events)
+                self.job.model,
+                self.job.min_version,
+                self._is_long(),
+                len(self.kept.events),
+                self._only_version(),
             )
             self._wish = self._dispatcher.wish_to_move(self._wish, back_end, need)
         if self._wish is not None and self._wish.granted is not None:
--- a/src/crankseam/jobs/move_wishes.py
+++ b/src/crankseam/jobs/move_wishes.py
@@ -10,7 +10,7 @@
 import time
 from dataclasses import dataclass
 
-from crankseam.jobs.places import slots_of
+from crankseam.jobs.places import may_serve, slots_of
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.paces import SamplerPaces
 
@@ -33,6 +33,7 @@
     service: str
     model: str
     min_version: int
+    only_version: int
     faster_than_s: float
     events: int
     granted: BackEnd | None = None
@@ -86,7 +87,7 @@
             return False
         if back_end.expected_load(now) >= slots_of(back_end):
             return False
-        return not wish.model or back_end.version_of(wish.model) >= wish.min_version
+        return may_serve(back_end, wish.model, wish.min_version, wish.only_version)
 
     def _fastest_first(self, service: str) -> list[tuple[float, BackEnd]]:
         """See SamplerPaces; worked out now and then, since each event of each run asks."""
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -20,6 +20,14 @@
     return back_end.record.slots or DEFAULT_SLOTS
 
 
+def may_serve(back_end: BackEnd, model: str, min_version: int, only_version: int) -> bool:
+    """Whether its weight version suits; `only_version` is 0 if any from `min_version` on does."""
+    if not model:
+        return True
+    version = back_end.version_of(model)
+    return version == only_version if only_version else version >= min_version
+
+
 @dataclass(order=True, slots=True)
 class PlaceRequest:
     """One item that waits for a place. Smaller ranks go first."""
@@ -36,6 +44,8 @@
     place: asyncio.Future[BackEnd] = field(compare=False)
     slots_share: float = field(compare=False, default=1.0)
     """The part of a back end's slots that requests of this kind may fill."""
+    only_version: int = field(compare=False, default=0)
+    """The one version that may go on with the item's text; 0 if any may."""
 
 
 Cost = tuple[bool, int, int, float, bool, float]
@@ -123,7 +133,7 @@
         self._paces = paces
         self._zone = zone
         self._now = time.monotonic()
-        self._queues: dict[tuple[str, str, int, bool, float], _Queue] = {}
+        self._queues: dict[tuple[str, str, int, bool, float, int], _Queue] = {}
         self._slow: dict[str, set[str]] = {}
 
     def take(self, request: PlaceRequest) -> BackEnd | None:
@@ -134,6 +144,7 @@
             request.min_version,
             request.is_long,
             request.slots_share,
+            request.only_version,
         )
         queue = self._queues.get(need)
         if queue is None:
@@ -148,7 +159,7 @@
             one
             for one in service
             if one.avoid_until <= self._now
-            and (not request.model or one.version_of(request.model) >= request.min_version)
+            and may_serve(one, request.model, request.min_version, request.only_version)
         ]
         classes = self._paces.classes(candidates) if request.is_long else {}
         behind = _versions_behind(candidates, request.model) if request.is_long else {}
--- a/src/crankseam/jobs/routed_place.py
+++ b/src/crankseam/jobs/routed_place.py
@@ -25,6 +25,7 @@
     avoided: str = "",
     is_long: bool = False,
     slots_share: float = 1.0,
+    only_version: int = 0,
     reserved: BackEnd | None = None,
 ) -> AsyncGenerator[tuple[Route, BackEnd], None]:
     """Wait for a place and give it back afterwards. See PlaceRequest.
@@ -50,7 +51,7 @@
             continue
         service = splitter.pick(route)
         back_end = await dispatcher.acquire(
-            rank, service, model, min_version, avoided, is_long, slots_share
+            rank, service, model, min_version, avoided, is_long, slots_share, only_version
         )
         # The configuration may have changed during the wait.
         route = find_route()
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -203,3 +203,46 @@
         await asyncio.gather(running, return_exceptions=True)
         task.cancel()
     assert fast.in_flight == 3 and slow.in_flight == 4, "the waiting item's place and no other"
+
+
+def registry_of_versions(*versions):
+    registry = make_registry(len(versions))
+    for one, version in zip(registry.of_service("llm"), versions, strict=True):
+        one.observed_versions["m"] = version
+    return registry
+
+
+async def test_a_single_version_text_goes_on_only_where_its_version_is(samplers):
+    samplers.scripts = [[*events(1, 2, 1), BROKEN], events(3, 4, 1)]
+    registry = registry_of_versions(1, 2, 2)
+    for one in registry.of_service("llm")[1:]:
+        one.in_flight = 3
+    route = make_route(single_version=True)
+    result = await run_item_keeping_others(samplers, registry, route)
+    assert result.text == "e1\ne2\ne3\ne4" and result.versions == [1]
+    assert [(one, after) for one, _, after in samplers.attempts] == [("s0", 0), ("s0", 2)]
+
+
+async def test_a_single_version_text_begins_anew_once_no_sampler_has_its_version(samplers):
+    samplers.scripts = [events(1, 2, 2)]
+    kept = PartialText(["old"], [1])
+    route = make_route(single_version=True)
+    result = await run_item(samplers, route, registry_of_versions(2, 2), kept=kept)
+    assert result.text == "e1\ne2" and result.versions == [2]
+    assert samplers.attempts[0][2] == 0
+
+
+async def run_item_keeping_others(samplers, registry, route):
+    """Like run_item, beside runs of others that stay."""
+    dispatcher = Dispatcher(registry, "z")
+    task = asyncio.create_task(dispatcher.run())
+    job = make_job()
+    run = ItemRun(
+        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
+        PartialText(),
+    )  # fmt: skip
+    try:
+        async with asyncio.timeout(20):
+            return await run.run()
+    finally:
+        task.cancel()
