--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -14,6 +14,8 @@
 
 LEASE_SECONDS = 1.8
 RENEW_SECONDS = 0.45
+IDLE_RENEW_SECONDS = 0.75
+"""Where nothing but this process's presence hangs on the lease: two renewals still fit its time."""
 DRIFT_MARGIN_SECONDS = 0.25
 """The holder gives up this much earlier than the store takes back."""
 
@@ -27,6 +29,8 @@
         """Called with the number of each new lease, when the keys of the old one are gone."""
         self.on_recovered: list[Callable[[], None]] = []
         """Called when the store answers again after a failure."""
+        self.relied_on: list[Callable[[], bool | int]] = []
+        """Say whether something hangs on the lease that others wait for when it is lost."""
         self._failing = False
         self.number = 0
         self._held_until = float("-inf")
@@ -47,7 +51,8 @@
                 if not self._failing:
                     log.warning("store_lost", extra={"error": type(error).__name__})
                 self._failing = True
-            await asyncio.sleep(RENEW_SECONDS)
+            relied_on = any(says() for says in self.relied_on)
+            await asyncio.sleep(RENEW_SECONDS if relied_on else IDLE_RENEW_SECONDS)
 
     async def ensure(self) -> int:
         """The number of a lease that is held, renewed or won anew if need be.
--- a/src/crankseam/orders/holder.py
+++ b/src/crankseam/orders/holder.py
@@ -56,6 +56,11 @@
     def _current(self) -> Entry | None:
         return self._state.entries.get(self._holder_key)
 
+    def is_holder(self) -> bool:
+        """Whether this process is known to hold the right, under whichever lease."""
+        current = self._current()
+        return current is not None and current.value == self._process.encode()
+
     def is_vacant(self) -> bool:
         """Whether nobody is known to hold the right. Must be called often: it dates the vacancy."""
         vacant = self._state.synchronized and self._current() is None
--- a/tests/coordination/test_process_lease.py
+++ b/tests/coordination/test_process_lease.py
@@ -45,3 +45,29 @@
     task.cancel()
     await lease.end()
     assert "k" not in store.entries and not lease.is_held()
+
+
+async def test_a_lease_on_which_nothing_hangs_is_renewed_less_often(monkeypatch):
+    monkeypatch.setattr("crankseam.coordination.process_lease.RENEW_SECONDS", 0.01)
+    monkeypatch.setattr("crankseam.coordination.process_lease.IDLE_RENEW_SECONDS", 1000.0)
+    store = MemoryStore()
+    renewals = []
+    renew = store.renew_lease
+
+    async def counted(lease):
+        renewals.append(lease)
+        return await renew(lease)
+
+    monkeypatch.setattr(store, "renew_lease", counted)
+    for relied_on in (True, False):
+        lease = ProcessLease(store)
+        lease.relied_on.append(lambda relied_on=relied_on: relied_on)
+        task = asyncio.create_task(lease.run())
+        await eventually(lease.is_held)
+        if relied_on:
+            await eventually(lambda: len(renewals) > 3)
+        else:
+            before = len(renewals)
+            await asyncio.sleep(0.2)
+            assert len(renewals) == before
+        task.cancel()
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -7,7 +7,13 @@
 
 from tests.platform.test_folder import ROOT
 
-RESULT = {"id": "a", "state": "completed", "text": "a.1.v3\na.2.v3", "versions": [3]}
+RESULT = {
+    "id": "a",
+    "state": "completed",
+    "text": "a.1.v3\na.2.v3",
+    "versions": [3],
+    "score": "s.score-a",
+}
 
 
 def audit(*reads, min_version=1, items=("a", "b")):
@@ -34,6 +40,21 @@
     assert audit((0, [RESULT | {"text": "a.1.v3"}])) == {"text_whole"}
     assert audit((0, [RESULT | {"versions": [2]}])) == {"versions_true"}
     assert audit((0, [RESULT]), min_version=4) == {"versions_true"}
+    assert audit((0, [RESULT | {"score": "s.score-b"}])) == {"score_of_its_text"}
+    assert audit((0, [{k: v for k, v in RESULT.items() if k != "score"}])) == {"score_of_its_text"}
+
+
+def test_the_auditor_notices_a_score_that_was_asked_for_before_the_text_was_whole():
+    def violations(asked_at, whole_at):
+        ledger = Ledger()
+        auditor = Auditor(ledger, length=2)
+        auditor.scores = {"a": "s.score-a"}
+        auditor.calls_compared({"score-a": asked_at}, {"a": whole_at})
+        return len(ledger.violations)
+
+    assert violations([5.0, 9.0], [4.0, 8.0]) == 0
+    assert violations([3.0, 9.0], [4.0]) == 1
+    assert violations([], [4.0]) == 1
 
 
 def test_the_auditor_notices_runs_that_should_not_be():
