The next process watches in place of a watcher that does not answer

Change: a watcher is avoided for 2 s, then 4, 8 and 16 s; from the second time on the process that comes next watches in its place, as each process works it out. A follower waits 1.6 s at most between failed tries, not 0.8 s. Tests were written with the mechanism. Also: a test that nothing that serves knows a deployment's name.

--- a/src/crankseam/coordination/follower.py
+++ b/src/crankseam/coordination/follower.py
@@ -26,7 +26,8 @@
 ANSWER_SLACK_SECONDS = 0.5
 """A watch that is not answered this long after its end is given up."""
 RETRY_BASE_SECONDS = 0.1
-RETRY_CAP_SECONDS = 0.8
+RETRY_CAP_SECONDS = 1.6
+"""Well below the time after an outage in which a process must be up to date again."""
 
 ChangeHandler = Callable[[str, Entry | None], None]
 
--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -44,7 +44,9 @@
 change, which a reader must still learn of in time."""
 ANSWER_SLACK_S = 0.3
 AVOID_S = 2.0
-"""A watcher that did not answer is not asked again for so long."""
+"""A watcher that did not answer is not asked again for so long, and twice as long each time after
+that. From the second time on, the process that comes next watches in its place."""
+MOST_AVOID_S = 16.0
 LARGE_VALUE_BYTES = 16 * 1024
 """Larger values are read from the store: a watcher's link is narrow."""
 
@@ -145,6 +147,8 @@
         self._answered_at = answered_at
         self._followers: dict[str, PrefixFollower] = {}
         self._avoid_until: dict[str, float] = {}
+        self._avoided_for_s: dict[str, float] = {}
+        """How long a watcher was avoided last, by name; gone once it answers."""
 
     def share(self, follower: PrefixFollower) -> None:
         """Let others follow what a follower of this process takes."""
@@ -152,9 +156,19 @@
         self._followers[follower.prefix] = follower
 
     def _watchers(self) -> list[Peer]:
-        """Those that have been there longest; as each process works it out for itself."""
+        """Those that have been there longest; as each process works it out for itself.
+
+        One that did not answer twice is passed over, by each process that noticed.
+        """
         processes = sorted(self._processes(), key=lambda peer: (peer.revision, peer.name))
-        return processes[: watcher_count(len(processes))]
+        answering = [one for one in processes if not self._is_passed_over(one)]
+        return answering[: watcher_count(len(processes))]
+
+    def _is_avoided(self, peer: Peer) -> bool:
+        return self._avoid_until.get(peer.name, 0.0) > time.monotonic()
+
+    def _is_passed_over(self, peer: Peer) -> bool:
+        return self._is_avoided(peer) and self._avoided_for_s.get(peer.name, 0.0) > AVOID_S
 
     def is_watcher(self) -> bool:
         """Whether this process watches the store itself, and answers others."""
@@ -165,8 +179,7 @@
         """One that may be asked now; None if the store itself is to be asked."""
         if self.is_watcher():
             return None
-        now = time.monotonic()
-        found = [one for one in self._watchers() if self._avoid_until.get(one.name, 0.0) <= now]
+        found = [one for one in self._watchers() if not self._is_avoided(one)]
         return random.choice(found) if found else None
 
     # --- WatchedStore
@@ -239,10 +252,16 @@
         if answer.refusal == REFUSED_UNAVAILABLE:
             self._avoid(peer, answer.refusal)
             return None
+        self._avoided_for_s.pop(peer.name, None)
+        self._avoid_until.pop(peer.name, None)
         return answer
 
     def _avoid(self, peer: Peer, reason: str) -> None:
-        self._avoid_until[peer.name] = time.monotonic() + AVOID_S
+        if self._is_avoided(peer):
+            return
+        avoided_s = min(MOST_AVOID_S, 2.0 * self._avoided_for_s.get(peer.name, AVOID_S / 2.0))
+        self._avoided_for_s[peer.name] = avoided_s
+        self._avoid_until[peer.name] = time.monotonic() + avoided_s
         log.info("watcher_avoided", extra={"peer": peer.name, "error": reason})
 
     async def _whole(self, answer: FeedAnswer) -> Changes:
--- a/tests/coordination/test_shared_watch.py
+++ b/tests/coordination/test_shared_watch.py
@@ -239,3 +239,48 @@
     feed.watch_ended(answered=False)
     with pytest.raises(KeyValueUnavailable):
         feed.check_fresh()
+
+
+async def test_the_next_processes_watch_in_place_of_watchers_that_do_not_answer(monkeypatch):
+    """Else all readers would watch the store themselves for as long as those are out of reach."""
+    monkeypatch.setattr(shared_watch, "AVOID_S", 0.2)
+    monkeypatch.setattr(shared_watch, "MOST_AVOID_S", 1000.0)
+    monkeypatch.setattr(shared_watch, "ANSWER_SLACK_S", 0.05)
+
+    async def calls_of_readers_for_ten_changes():
+        before = [way.calls for way in fleet.ways]
+        for number in range(10):
+            await fleet.put(f"a/{number}", str(before).encode())
+            await eventually(lambda number=number: fleet.have(f"a/{number}", str(before).encode()))
+        return sum(
+            way.calls - calls for way, calls in list(zip(fleet.ways, before, strict=True))[4:]
+        )
+
+    async with Fleet(20, in_force_s=0.3).following() as fleet:
+        fleet.silent = {0, 1}
+        async with asyncio.timeout(40):
+            while await calls_of_readers_for_ten_changes() > 10:
+                await asyncio.sleep(0.1)
+
+
+async def test_a_watcher_that_fails_again_is_avoided_for_longer():
+    fleet = Fleet(20)
+    watches, peer = fleet.watches[7], fleet.peers[0]
+    watches._avoid(peer, "test")
+    first = watches._avoided_for_s[peer.name]
+    watches._avoid(peer, "at the same time")
+    assert watches._avoided_for_s[peer.name] == first
+    watches._avoid_until.clear()
+    watches._avoid(peer, "again")
+    assert watches._avoided_for_s[peer.name] == 2 * first
+
+
+async def test_an_answer_that_comes_after_a_failure_ends_the_avoiding():
+    """The followers of one process ask one watcher at the same time, with different luck."""
+    async with Fleet(20).following() as fleet:
+        reader, peer = fleet.watches[7], fleet.peers[0]
+        question = shared_watch.FeedQuestion("a/", 0, 0.0)
+        reader._avoid(peer, "another follower's question failed")
+        assert reader._is_avoided(peer)
+        assert await reader._try(peer, question) is not None
+        assert not reader._is_avoided(peer) and peer in reader._watchers()
--- a/tests/platform/test_folder.py
+++ b/tests/platform/test_folder.py
@@ -55,3 +55,19 @@
     locked = set((ROOT / "requirements.lock").read_text(encoding="utf-8").splitlines())
     deployed = (ROOT / "deploy" / "requirements.lock").read_text(encoding="utf-8").splitlines()
     assert deployed and set(deployed) <= locked
+
+
+# The users' deployments, their places and their days: nothing that serves may know them.
+DEPLOYMENT_NAMES = re.compile(
+    r"riga|dvt|pinfold|mahlangu|mbf|derby|leicester|coventry|secunda|witbank|ermelo"
+    r"|(quiet|trouble|scale|fresh)-\d",
+    re.IGNORECASE,
+)
+
+
+@pytest.mark.parametrize("folder", ["src/crankseam", "platform/crankseam_platform", "deploy"])
+def test_nothing_that_serves_knows_a_deployment_by_its_name(folder):
+    for file in (ROOT / folder).rglob("*"):
+        if file.suffix in (".py", ".toml", ".template"):
+            found = DEPLOYMENT_NAMES.search(file.read_text(encoding="utf-8"))
+            assert found is None, f"{file}: {found.group()}"
