--- a/src/crankseam/cluster/agent.py
+++ b/src/crankseam/cluster/agent.py
@@ -1,4 +1,4 @@
-"""The part of a node that works together with other nodes: what real and hollow nodes share."""
+"""What a node does together with others: membership, digest, configuration, replicas."""
 
 from __future__ import annotations
 
--- a/src/crankseam_experiments/spec.py
+++ b/src/crankseam_experiments/spec.py
@@ -136,25 +136,6 @@
     """How many seeds a comparison runs, from the one given on."""
 
 
-class ScaleExperiment(_Concern):
-    """Hollow nodes at several sizes."""
-
-    name: str
-    kind: Literal["scale"]
-    sizes: list[int] = Field(min_length=1)
-    regions: int = Field(ge=1)
-    zones: int = Field(ge=1)
-    nodes_per_process: int = Field(default=60, ge=1)
-    back_ends: int = Field(default=600, ge=0)
-    """Samplers at the largest size; smaller sizes get their share."""
-    settle_seconds: float = Field(default=10.0, gt=0)
-    measure_seconds: float = Field(default=20.0, gt=0)
-    changes: int = Field(default=50, ge=1)
-    record_slots: int = Field(default=48, ge=1)
-    faults: bool = True
-    timing: dict[str, str] = {}
-
-
 class SlopesExperiment(_Concern):
     """Costs of one more unit of work, in one process."""
 
@@ -163,8 +144,8 @@
     records: int = Field(default=4000, ge=100)
 
 
-AnyExperiment = Experiment | ScaleExperiment | SlopesExperiment
-MODELS: dict[str, type[AnyExperiment]] = {"scale": ScaleExperiment, "slopes": SlopesExperiment}
+AnyExperiment = Experiment | SlopesExperiment
+MODELS: dict[str, type[AnyExperiment]] = {"slopes": SlopesExperiment}
 
 
 def load_experiment(file: Path) -> AnyExperiment:
--- a/src/crankseam_experiments/verb.py
+++ b/src/crankseam_experiments/verb.py
@@ -17,9 +17,8 @@
 from crankseam_experiments.latency import run_latency
 from crankseam_experiments.losses import read_jobs, read_report, tell_losses
 from crankseam_experiments.runner import run_processes
-from crankseam_experiments.scale import run_scale
 from crankseam_experiments.slopes import run_slopes
-from crankseam_experiments.spec import ScaleExperiment, SlopesExperiment, load_experiment
+from crankseam_experiments.spec import SlopesExperiment, load_experiment
 from crankseam_experiments.weakened_node import WEAKENINGS
 
 DEPLOYMENT_FOLDER = Path(__file__).parents[2] / "platform"
@@ -67,9 +66,7 @@
     spec = load_experiment(arguments.file)
     arguments.out.mkdir(parents=True, exist_ok=True)
     out = arguments.out.resolve()
-    if isinstance(spec, ScaleExperiment):
-        report = asyncio.run(run_scale(spec, arguments.seed, out))
-    elif isinstance(spec, SlopesExperiment):
+    if isinstance(spec, SlopesExperiment):
         report = asyncio.run(run_slopes(spec, out))
     elif spec.kind == "latency":
         folder = arguments.file.resolve().parent
--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -46,7 +46,7 @@
 
 
 async def test_groups_that_started_apart_find_each_other(platform, agents):
-    """Found with 12 hollow nodes started at once: two groups of 7 and 5 stayed apart.
+    """Found with 12 nodes started at once: two groups of 7 and 5 stayed apart.
 
     Each group has members in several zones; only one link between the groups is known.
     """
@@ -135,7 +135,7 @@
 
 
 def test_relays_do_not_keep_a_dead_member_alive_by_telling_each_other():
-    """Found with 420 hollow nodes: none of 21 deaths was noticed, since each of the two relays
+    """Found with 420 nodes: none of 21 deaths was noticed, since each of the two relays
     of a zone counted the other's hearsay as a sign of life and passed it on."""
     now = [0.0]
     first, second = (LivenessJudge(dead_after=4.0, clock=lambda: now[0]) for _ in range(2))
@@ -199,7 +199,7 @@
 
 
 def test_an_overloaded_relay_counts_only_the_time_in_which_it_listened():
-    """Found with 420 hollow nodes on an overloaded machine: relays that lagged by less than a
+    """Found with 420 nodes on an overloaded machine: relays that lagged by less than a
     pause declared 350 members dead, and the news of it kept all overloaded."""
     now = [0.0]
     judge = LivenessJudge(dead_after=3.0, clock=lambda: now[0])
@@ -241,7 +241,7 @@
 
 
 async def test_news_of_a_death_travels_without_heartbeats(platform, agents):
-    """At 420 hollow nodes a death took 2 s more to spread than to notice, since each level of a
+    """At 420 nodes a death took 2 s more to spread than to notice, since each level of a
     zone's tree had to pull it from the one above."""
     await grow(platform, agents, 8)
 
