A single-version item that waits looks whether its version is still there; a running text is never forgotten

Found by reading the change again. Cause 1: an item whose text only one version may go on with waited for a place at such a sampler, and when the last one loaded meanwhile it waited until its job ended. Cause 2: a run under way forgot its text when the last sampler of its version began to leave; had its last event been there, an empty text would have been listed as whole. Change: the wait is looked at again each 0.5 s and begins anew if no sampler carries the version; only an item that waits forgets a text. Tests: both failed before. Routes without single versions take the same way as before.

--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -140,20 +140,29 @@
                 self._avoided,
                 self._is_long(),
                 self._slots_share(),
-                self._only_version(),
-                reserved=reserved,
+                self._only_version,
+                reserved,
             ) as (route, back_end):
                 result = await self._attempt(back_end, route)
             if result is not None:
                 return result
             reserved = self._end_wish()
 
-    def _only_version(self) -> int:
-        """The one version that may go on with the text; 0 if any may, or the text begins anew."""
+    def _text_version(self) -> int:
+        """The one version that may go on with the text; 0 if any may."""
         route = self._find_route(self.job)
         if route is None or not route.single_version or not self.kept.versions:
             return 0
-        (version,) = self.kept.versions[-1:]
+        return self.kept.versions[-1]
+
+    def _only_version(self) -> int:
+        """See PlaceRequest. A text that no sampler can go on with is forgotten.
+
+        Only for an item that waits: the text of a run under way stays.
+        """
+        version, route = self._text_version(), self._find_route(self.job)
+        if not version or route is None:
+            return 0
         services = [share.service for share in route.shares]
         if any(self._dispatcher.is_carried(one, self.job.model, version) for one in services):
             return version
@@ -279,7 +288,7 @@
                 self.job.min_version,
                 self._is_long(),
                 len(self.kept.events),
-                self._only_version(),
+                self._text_version(),
             )
             self._wish = self._dispatcher.wish_to_move(self._wish, back_end, need)
         if self._wish is not None and self._wish.granted is not None:
--- a/src/crankseam/jobs/routed_place.py
+++ b/src/crankseam/jobs/routed_place.py
@@ -12,6 +12,8 @@
 
 NO_ROUTE_PAUSE_S = 0.2
 """How often the newest configuration is asked for a route that is not there."""
+VERSION_LOOK_S = 0.5
+"""How often an item that waits for one version looks whether a sampler still carries it."""
 
 
 @asynccontextmanager
@@ -25,7 +27,7 @@
     avoided: str = "",
     is_long: bool = False,
     slots_share: float = 1.0,
-    only_version: int = 0,
+    only_version: Callable[[], int] = lambda: 0,
     reserved: BackEnd | None = None,
 ) -> AsyncGenerator[tuple[Route, BackEnd], None]:
     """Wait for a place and give it back afterwards. See PlaceRequest.
@@ -34,6 +36,7 @@
     ==========
 
     find_route : the route in the newest configuration; None while there is none.
+    only_version : asked anew now and then, since the samplers of a version load newer ones.
     reserved : a place that was taken already; used if it still serves.
     """
     route, back_end = find_route(), reserved
@@ -50,9 +53,14 @@
             await asyncio.sleep(NO_ROUTE_PAUSE_S)
             continue
         service = splitter.pick(route)
-        back_end = await dispatcher.acquire(
-            rank, service, model, min_version, avoided, is_long, slots_share, only_version
-        )
+        version = only_version()
+        try:
+            async with asyncio.timeout(VERSION_LOOK_S if version else None):
+                back_end = await dispatcher.acquire(
+                    rank, service, model, min_version, avoided, is_long, slots_share, version
+                )
+        except TimeoutError:
+            continue
         # The configuration may have changed during the wait.
         route = find_route()
         if route is None or not route.leads_to(service):
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import pytest
 
@@ -246,3 +247,54 @@
             return await run.run()
     finally:
         task.cancel()
+
+
+async def test_an_item_that_waits_for_its_texts_version_begins_anew_once_that_is_gone(samplers):
+    """Else it would wait for ever: the last sampler of the version was full, then it loaded."""
+    registry = registry_of_versions(1, 2)
+    last_of_its_version, newer = registry.of_service("llm")
+    last_of_its_version.in_flight, newer.in_flight = 4, 3
+    samplers.scripts = [events(1, 2, 2)]
+    dispatcher = Dispatcher(registry, "z")
+    task = asyncio.create_task(dispatcher.run())
+    job, route = make_job(), make_route(single_version=True)
+    run = ItemRun(
+        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
+        PartialText(["old"], [1]),
+    )  # fmt: skip
+    running = asyncio.create_task(run.run())
+    try:
+        await asyncio.sleep(0.1)
+        assert not samplers.attempts, "it waits for a place where its version is"
+        last_of_its_version.observed_versions["m"] = 2
+        async with asyncio.timeout(10):
+            assert (await running).text == "e1\ne2"
+    finally:
+        running.cancel()
+        task.cancel()
+
+
+async def test_the_text_of_a_run_stays_when_the_last_sampler_of_its_version_leaves(
+    samplers, monkeypatch
+):
+    monkeypatch.setattr("crankseam.jobs.item_run.WARM_UP_S", 0.0)
+    monkeypatch.setattr("crankseam.jobs.item_run.MOVE_LOOK_S", 0.0)
+    registry = registry_of_versions(1, 2)
+    leaving, _ = registry.of_service("llm")
+    samplers.scripts = [[*events(1, 3, 1), 0.1, *events(4, 5, 1)]]
+    dispatcher = Dispatcher(registry, "z")
+    task = asyncio.create_task(dispatcher.run())
+    job, route = make_job(), make_route(single_version=True)
+    run = ItemRun(
+        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
+        PartialText(),
+    )  # fmt: skip
+    running = asyncio.create_task(run.run())
+    try:
+        await eventually(lambda: len(run.kept.events) == 3)
+        registry.update(replace(leaving.record, leaving=True))
+        result = await running
+        assert result.text == "e1\ne2\ne3\ne4\ne5" and result.versions == [1]
+    finally:
+        running.cancel()
+        task.cancel()
