--- a/tests/coordination/test_peer_http.py
+++ b/tests/coordination/test_peer_http.py
@@ -2,7 +2,7 @@
 
 from crankseam.coordination.peer_http import PeerClient, PeerListener
 from crankseam.errors import KeyValueOutcomeUnknown, KeyValueUnavailable
-from tests.support.ports import free_port
+from crankseam_standins.ports import free_port
 
 
 async def fail(raw):
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -14,7 +14,7 @@
 from crankseam.coordination.interface import Put, Transaction
 from crankseam.serving.settings import Bounds, Listeners, ProcessSettings
 from crankseam_standins.memory_store import MemoryStore
-from tests.support.ports import free_port
+from crankseam_standins.ports import free_port
 from tests.support.waiting import eventually
 
 HOST = "app.example"
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -4,8 +4,8 @@
 import msgspec
 import pytest
 
+from crankseam_standins.ports import free_port
 from tests.platform.deployment import HOST, ROUTES, Deployment, route
-from tests.support.ports import free_port
 from tests.support.waiting import eventually
 
 
--- a/tests/platform/test_store_client.py
+++ b/tests/platform/test_store_client.py
@@ -18,7 +18,7 @@
 )
 from crankseam.errors import KeyValueOutcomeUnknown, KeyValueThrottled, KeyValueUnavailable
 from crankseam_standins.memory_store import MemoryStore
-from tests.support.ports import free_port
+from crankseam_standins.ports import free_port
 
 
 @pytest.fixture
