A process that drains leaves the jobs it accepts to other processes

Change: no lease is won after the planned end; a job that is accepted while draining has no owner, so that the process that ranks first claims it.

--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from crankseam.coordination.interface import CoordinationStore, LeaseExpired
-from crankseam.errors import KeyValueError
+from crankseam.errors import KeyValueError, KeyValueUnavailable
 
 log = logging.getLogger(__name__)
 
@@ -32,6 +32,8 @@
         self.relied_on: list[Callable[[], bool | int]] = []
         """Say whether something hangs on the lease that others wait for when it is lost."""
         self._failing = False
+        self.is_ended = False
+        """Set by a planned end: what hangs on the lease is for other processes from then on."""
         self.number = 0
         self._held_until = float("-inf")
         self._renewing = asyncio.Lock()
@@ -43,22 +45,28 @@
     async def run(self) -> None:
         """Renew until cancelled."""
         while True:
-            try:
-                async with self._renewing:
-                    await self._renew_or_replace()
-                self._answered()
-            except KeyValueError as error:
-                if not self._failing:
-                    log.warning("store_lost", extra={"error": type(error).__name__})
-                self._failing = True
+            if not self.is_ended:
+                await self._renew_once()
             relied_on = any(says() for says in self.relied_on)
             await asyncio.sleep(RENEW_SECONDS if relied_on else IDLE_RENEW_SECONDS)
 
+    async def _renew_once(self) -> None:
+        try:
+            async with self._renewing:
+                await self._renew_or_replace()
+        except KeyValueError as error:
+            if not self._failing and not self.is_ended:
+                log.warning("store_lost", extra={"error": type(error).__name__})
+            self._failing = True
+            return
+        self._answered()
+
     async def ensure(self) -> int:
         """The number of a lease that is held, renewed or won anew if need be.
 
         Raises:
             KeyValueError: the store did not give one.
+            KeyValueUnavailable: none is won any more, since the planned end.
         """
         if not self.is_held():
             async with self._renewing:
@@ -72,6 +80,8 @@
         self._held_until = float("-inf")
 
     async def _renew_or_replace(self) -> None:
+        if self.is_ended:
+            raise KeyValueUnavailable("the lease was ended")
         asked_at = time.monotonic()
         if self.number == 0:
             number, duration = await self._store.grant_lease(LEASE_SECONDS)
@@ -101,7 +111,11 @@
         self._held_until = max(self._held_until, asked_at + duration - DRIFT_MARGIN_SECONDS)
 
     async def end(self) -> None:
-        """Give the lease back at a planned stop; a failure only delays the others."""
+        """Give the lease back at a planned stop; a failure only delays the others.
+
+        No new one is won: this process would seem to live on, and be handed what it can't finish.
+        """
+        self.is_ended = True
         number, self.number = self.number, 0
         self._held_until = float("-inf")
         if number == 0:
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -32,6 +32,8 @@
 """A job runs, unlisted, when its acceptance takes longer than this."""
 MOST_ITEMS = 512
 """Items that a process runs while it takes jobs from others; their events need processor time."""
+NO_LEASE = 0
+"""A job that is accepted under no lease has no owner."""
 RETRY_BASE_SECONDS = 0.1
 RETRY_CAP_SECONDS = 0.5
 
@@ -134,7 +136,8 @@
         """Accept a job; returns once it lasts.
 
         While the store lets it wait, the job runs already, unlisted: so an outage of the store
-        costs little of a step's time.
+        costs little of a step's time. A process that drains accepts a job without an owner, for
+        another process to claim.
 
         Args:
             deadline: monotonic time until which the caller waits.
@@ -146,7 +149,7 @@
         acceptance = asyncio.create_task(self._accept(job, deadline))
         try:
             done, _ = await asyncio.wait({acceptance}, timeout=RUN_AHEAD_SECONDS)
-            if not done and job.id not in self.running.runners:
+            if not done and self.claims.active and job.id not in self.running.runners:
                 log.info("job_run_ahead", extra={"job": job.id})
                 self.running.start(job, [], {}, accepted=False)
             created, lease = await acceptance
@@ -166,20 +169,21 @@
                 "items": len(job.items),
                 "min_version": job.min_version,
                 "again": not created,
+                "owned": created and self.claims.active,
             },
         )
-        if created:
+        if created and self.claims.active:
             self._run_accepted(job, lease)
         else:
             self.running.drop_unaccepted(job.id)
 
     async def _accept(self, job: JobDefinition, deadline: float) -> tuple[bool, int]:
-        """Write the job; whether this call accepted it, and the lease that owns it."""
+        """Write the job; whether this call accepted it, and the lease that owns it (0: none)."""
         backoff = Backoff(RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
         unknown = False
         while True:
             try:
-                lease = await self.lease.ensure()
+                lease = await self.lease.ensure() if self.claims.active else NO_LEASE
                 return await self._repository.create(job, lease), lease
             except LeaseExpired:
                 self.lease.forget()
--- a/tests/coordination/test_process_lease.py
+++ b/tests/coordination/test_process_lease.py
@@ -1,7 +1,10 @@
 import asyncio
 
+import pytest
+
 from crankseam.coordination.interface import Put, Transaction
 from crankseam.coordination.process_lease import ProcessLease
+from crankseam.errors import KeyValueUnavailable
 from crankseam_standins.memory_store import MemoryStore
 from tests.support.waiting import eventually
 
@@ -47,6 +50,22 @@
     assert "k" not in store.entries and not lease.is_held()
 
 
+async def test_no_lease_is_won_after_the_planned_end(monkeypatch):
+    monkeypatch.setattr("crankseam.coordination.process_lease.RENEW_SECONDS", 0.01)
+    monkeypatch.setattr("crankseam.coordination.process_lease.IDLE_RENEW_SECONDS", 0.01)
+    store, new = MemoryStore(), []
+    lease = ProcessLease(store)
+    lease.on_new.append(new.append)
+    task = asyncio.create_task(lease.run())
+    await eventually(lambda: lease.is_held())
+    await lease.end()
+    await asyncio.sleep(0.1)
+    assert not lease.is_held() and len(new) == 1 and lease.is_ended
+    with pytest.raises(KeyValueUnavailable):
+        await lease.ensure()
+    task.cancel()
+
+
 async def test_a_lease_on_which_nothing_hangs_is_renewed_less_often(monkeypatch):
     monkeypatch.setattr("crankseam.coordination.process_lease.RENEW_SECONDS", 0.01)
     monkeypatch.setattr("crankseam.coordination.process_lease.IDLE_RENEW_SECONDS", 1000.0)
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -135,6 +135,32 @@
     assert len(await all_results(other.jobs)) == 3
 
 
+async def test_a_process_that_drains_accepts_a_job_for_another_process_to_run(cluster):
+    store, samplers, start = cluster
+    draining, other = await start("a"), await start("b")
+    await draining.jobs.stop()
+    await draining.jobs.submit(make_job(), soon())
+    assert not draining.jobs.running.runners, "it would be cut off by the process's end"
+    await eventually(lambda: "j1" in other.jobs.running.runners, "the claim of another")
+    assert store.entries["crankseam/state/owner/j1"].value == b"b"
+    assert len(await all_results(other.jobs)) == 3
+    assert len(await all_results(draining.jobs)) == 3, "it still reads for its callers"
+
+
+async def test_a_job_whose_acceptance_is_under_way_when_draining_begins_runs_elsewhere(cluster):
+    store, samplers, start = cluster
+    draining, other = await start("a"), await start("b")
+    store.faults.down = True
+    submitting = asyncio.create_task(draining.jobs.submit(make_job(), time.monotonic() + 20))
+    await eventually(lambda: "j1" in draining.jobs.running.runners, "running ahead")
+    await draining.jobs.stop()
+    store.faults.down = False
+    await submitting
+    assert not draining.jobs.running.runners
+    await eventually(lambda: "j1" in other.jobs.running.runners, "the claim of another")
+    assert len(await all_results(other.jobs)) == 3
+
+
 async def test_an_end_stops_the_run_wherever_it_was_asked(cluster):
     store, samplers, start = cluster
     owner, other = await start("a"), await start("b")
