Samplers are shared between models by the work of their items

Cause: each model of a service was dealt the same number of samplers. Ruled out: too few samplers in all (the first kind waits for nobody). Change: the process that runs a model's jobs learns how long its items hold places, by hinted token, and says so with each job it accepts; the holder of the orders shares the samplers by items times seconds, half of an equal share at least, and changes shares only when one is off by 0.06.

--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -17,6 +17,8 @@
     model: str = ""
     items: int = 0
     min_version: int = 0
+    item_s: float = 0.0
+    """How long an item is likely to hold a place at a sampler; 0 if that is not known."""
 
 
 def decode_open_job(value: bytes) -> OpenJob:
@@ -35,11 +37,15 @@
         self._peaks: dict[str, tuple[int, float]] = {}
         """Items and the monotonic time at which so many were open last."""
         self._needed: dict[str, int] = {}
+        self._item_s: dict[str, float] = {}
+        """The newest word of how long an item holds a place, by model."""
 
     def opened(self, job_id: str, job: OpenJob) -> None:
         """A job is open."""
         self._open[job_id] = job
         self._needed[job.model] = max(self._needed.get(job.model, 0), job.min_version)
+        if job.item_s > 0.0:
+            self._item_s[job.model] = job.item_s
         self._note(job.model)
 
     def ended(self, job_id: str) -> None:
@@ -67,6 +73,11 @@
         peak, _ = self._peaks.get(model, (0, 0.0))
         return peak or None
 
+    def work_s_of(self, model: str) -> float | None:
+        """Seconds of places that the most items lately need; None if that is not known."""
+        items, item_s = self.items_of(model), self._item_s.get(model)
+        return items * item_s if items is not None and item_s is not None else None
+
     def needed_version(self, model: str) -> int | None:
         """The oldest version that may serve the model's newest job; None if none was seen."""
         return self._needed.get(model)
--- a/src/crankseam/jobs/item_maker.py
+++ b/src/crankseam/jobs/item_maker.py
@@ -6,6 +6,7 @@
 
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.item_run import GenerationClient, ItemRun, RouteFinder, whole_result
+from crankseam.jobs.item_seconds import ItemSeconds
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.scoring import ItemScorer
 from crankseam.serving.routes import TrafficSplitter
@@ -36,6 +37,7 @@
         self._find_route = find_route
         self._splitter = splitter
         self._scorer = scorer
+        self.item_seconds = ItemSeconds()
 
     def longest_queue_s(self, job: JobDefinition) -> float:
         """How long after its job was submitted an item may be given up."""
@@ -71,6 +73,7 @@
     ) -> ItemResult:
         if kept.whole:
             return whole_result(item, kept)
+        begun_elsewhere = bool(kept.events)
         run = ItemRun(
             job,
             item,
@@ -82,4 +85,7 @@
             kept,
             is_long,
         )
-        return await run.run()
+        result = await run.run()
+        if result.completed and not begun_elsewhere:
+            self.item_seconds.ended(job.model, item, run.held_s)
+        return result
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -117,6 +117,8 @@
         self._avoided = ""
         self._wish: MoveWish | None = None
         self._single_version = False
+        self.held_s = 0.0
+        """How long it held places so far."""
 
     async def run(self) -> ItemResult:
         """Try until the item is whole or must be given up."""
@@ -143,7 +145,9 @@
                 self._only_version,
                 reserved,
             ) as (route, back_end):
+                placed_at = time.monotonic()
                 result = await self._attempt(back_end, route)
+                self.held_s += time.monotonic() - placed_at
             if result is not None:
                 return result
             reserved = self._end_wish()
--- a/src/crankseam/jobs/repository.py
+++ b/src/crankseam/jobs/repository.py
@@ -92,11 +92,12 @@
         self._store = store
         self.process = process
 
-    async def create(self, job: JobDefinition, lease: int) -> bool:
+    async def create(self, job: JobDefinition, lease: int, item_s: float = 0.0) -> bool:
         """Accept a job; False when it was accepted before.
 
         Args:
             lease: lease under which this process owns it; 0 leaves it without an owner.
+            item_s: see OpenJob.
         """
         encoded = msgspec.msgpack.encode(job)
         parts = [encoded[at : at + PART_BYTES] for at in range(0, len(encoded), PART_BYTES)]
@@ -105,7 +106,7 @@
         for put in puts[1:]:
             await self._store.commit(Transaction(puts=[put]))
         head = msgspec.msgpack.encode(JobHead(len(parts), self.process))
-        opened = msgspec.msgpack.encode(OpenJob(job.model, len(job.items), job.min_version))
+        opened = msgspec.msgpack.encode(OpenJob(job.model, len(job.items), job.min_version, item_s))
         final = [puts[0], Put(prefix + "head", head), Put(OPEN_PREFIX + job.id, opened)]
         if lease:
             final.append(Put(OWNER_PREFIX + job.id, self.process.encode(), lease))
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -184,7 +184,8 @@
         while True:
             try:
                 lease = await self.lease.ensure() if self.claims.active else NO_LEASE
-                return await self._repository.create(job, lease), lease
+                item_s = self._maker.item_seconds.mean_s(job)
+                return await self._repository.create(job, lease, item_s), lease
             except LeaseExpired:
                 self.lease.forget()
             except KeyValueError as error:
--- a/src/crankseam/orders/assignment.py
+++ b/src/crankseam/orders/assignment.py
@@ -25,10 +25,14 @@
 """A sampler that failed so often in a row is not counted on."""
 
 
-def copies(samplers: int, models: int) -> int:
-    """How many of a service's samplers carry one of its models."""
-    share = math.ceil(samplers / models)
-    return min(samplers, max(share, LOADS_A_STEP // models))
+def copies(samplers: int, models: int, share: float | None = None) -> int:
+    """How many of a service's samplers carry one of its models.
+
+    Args:
+        share: the model's part of the samplers; an equal one without it.
+    """
+    dealt = math.ceil(samplers / models if share is None else samplers * share)
+    return min(samplers, max(dealt, LOADS_A_STEP // models))
 
 
 def needed(samplers: list[BackEnd], items: dict[str, int] | None, model: str, unknown: int) -> int:
@@ -50,6 +54,7 @@
     models: dict[str, int],
     classes: dict[str, int] | None = None,
     items: dict[str, int] | None = None,
+    shares: dict[str, float] | None = None,
 ) -> dict[str, list[BackEnd]]:
     """The samplers of one service that are to carry each model's newest version.
 
@@ -62,6 +67,7 @@
             where versions leave the choice open.
         items: how many items want to run at once, by model, where that is known: a model that
             needs fewer samplers than its share is not loaded on the others.
+        shares: the models' parts of the samplers; equal ones without them.
     """
     known = classes or {}
     sound = [one for one in samplers if one.failures < UNSOUND_FAILURES] or samplers
@@ -78,7 +84,7 @@
             its_turn = (places[key] - turn) % len(models)
             return (-sampler.version_of(model), taken[key], its_turn, places[key])
 
-        most = copies(len(samplers), len(models))
+        most = copies(len(samplers), len(models), (shares or {}).get(model))
         chosen = sorted(sound, key=cost)[: min(most, needed(samplers, items, model, most))]
         taken.update(sampler.record.id for sampler in chosen)
         assigned[model] = chosen
--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -22,6 +22,7 @@
     SamplerControl,
     VersionOrder,
 )
+from crankseam.orders.shares import ModelShares
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.paces import SamplerPaces
 
@@ -58,6 +59,9 @@
     def items_of(self, model: str) -> int | None:
         """How many items want to run at once; None if that is not known."""
 
+    def work_s_of(self, model: str) -> float | None:
+        """Seconds of places that these items need; None if that is not known."""
+
     def needed_version(self, model: str) -> int | None:
         """The oldest version that may serve the newest job; None if that is not known."""
 
@@ -66,6 +70,9 @@
     def items_of(self, model: str) -> int | None:
         return None
 
+    def work_s_of(self, model: str) -> float | None:
+        return None
+
     def needed_version(self, model: str) -> int | None:
         return None
 
@@ -107,6 +114,8 @@
             {},
         )
         """When it was worked out, for which models, and the samplers by model."""
+        self._shares: dict[str, ModelShares] = {}
+        """Shares of the models, by service."""
         self.active = True
 
     def version_named(self, model: str, version: int) -> None:
@@ -217,16 +226,27 @@
         for one in carriers.values():
             by_service.setdefault(one.record.service, []).append(one)
         assigned: dict[str, list[BackEnd]] = {model: [] for model in self._named}
-        for back_ends in by_service.values():
+        for service, back_ends in by_service.items():
             carried = {model for one in back_ends for model in one.record.versions}
             models = {model: self._named.get(model, 0) for model in carried}
             classes = self._paces.classes(back_ends)
             items = {model: count for model in models if (count := self._demand.items_of(model))}
-            for model, chosen in assign(back_ends, models, classes, items).items():
+            shares = self._shares_of(service, carried)
+            for model, chosen in assign(back_ends, models, classes, items, shares).items():
                 if model in assigned:
                     assigned[model].extend(chosen)
         return assigned
 
+    def _shares_of(self, service: str, models: set[str]) -> dict[str, float]:
+        known = self._shares.setdefault(service, ModelShares())
+        work_s = {model: work for model in models if (work := self._demand.work_s_of(model))}
+        before = known.shares
+        shares = known.update(models, work_s)
+        if shares != before:
+            rounded = {model: round(share, 2) for model, share in shares.items()}
+            log.info("samplers_shared", extra={"service": service, "shares": rounded})
+        return shares
+
     def _order_cost(self, pair: tuple[BackEnd, str]) -> tuple[bool, int, float, int]:
         """Sound ones first; the model whose samplers lag most; slow ones; those with least work.
 
--- a/tests/orders/test_assignment.py
+++ b/tests/orders/test_assignment.py
@@ -84,3 +84,23 @@
     assert len(assigned["b"]) == LOADS_A_STEP
     assert len(assigned["c"]) == 100, "nobody knows what it needs: its share"
     assert len(assign(samplers(24), {"a": 2, "b": 2, "c": 2}, None, items)["a"]) == 8
+
+
+def test_models_get_samplers_by_their_shares():
+    all_samplers = samplers(31)
+    shares = {"a": 0.3, "b": 0.7}
+    assigned = assign(all_samplers, {"a": 2, "b": 2}, shares=shares)
+    assert [len(assigned["a"]), len(assigned["b"])] == [10, 22]
+    assert len({one.record.id for chosen in assigned.values() for one in chosen}) == 31
+
+
+def test_a_share_that_grows_takes_samplers_that_the_other_model_left():
+    all_samplers = samplers(20)
+    first = assign(all_samplers, {"a": 2, "b": 2})
+    for model, chosen in first.items():
+        for one in chosen:
+            one.observed_versions[model] = 2
+    again = assign(all_samplers, {"a": 2, "b": 2}, shares={"a": 0.3, "b": 0.7})
+    assert set(map(id, first["b"])) <= set(map(id, again["b"])), "what is loaded stays"
+    assert set(map(id, again["a"])) <= set(map(id, first["a"]))
+    assert len({one.record.id for chosen in again.values() for one in chosen}) == 20
--- a/tests/orders/test_version_coordinator.py
+++ b/tests/orders/test_version_coordinator.py
@@ -39,14 +39,18 @@
 
 
 class Demand:
-    """Jobs that any version from `needed` on may serve."""
+    """Jobs that any version from `needed` on may serve, and the seconds of work that they are."""
 
-    def __init__(self, needed):
+    def __init__(self, needed, work_s=None):
         self.needed = needed
+        self.work_s = work_s or {}
 
     def items_of(self, model):
         return None
 
+    def work_s_of(self, model):
+        return self.work_s.get(model)
+
     def needed_version(self, model):
         return self.needed
 
@@ -98,6 +102,17 @@
         running.cancel()
 
 
+def test_a_model_whose_items_are_more_work_gets_more_samplers():
+    demand = Demand(1, {"a": 90.0, "b": 210.0})
+    coordinator, _ = coordinator_of(20, MODELS[:2], demand)
+    coordinator.version_named("a", 2)
+    coordinator.version_named("b", 2)
+    assigned = coordinator._assigned()
+    assert {model: len(chosen) for model, chosen in assigned.items()} == {"a": 6, "b": 14}
+    demand.work_s = {"a": 84.0, "b": 216.0}
+    assert len(coordinator._assigned()["a"]) == 6, "a small change costs no load"
+
+
 def due_ids(coordinator, model="a"):
     coordinator._load_from[model] = 0.0
     back_ends = coordinator._registry.of_service("svc")
