Two processes watch the store at any size; others relay what they follow

Cause: one of 40 processes watched the store, each at the price of a call a change and prefix: five at 165 fronts, eleven at 420. Change: two watch; where two can't answer all readers, the next ones follow those two and answer readers too. A relay's questions wait for 0.2 of the time for which a feed is fresh, so that the ages add up to less than it; a relay asks watchers only, and the store when none answers. Tests: two new ones (relays answer and call nothing, also when nothing changes; readers of relays whose watchers are silent learn in time).

--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -1,8 +1,9 @@
 """Few processes watch the store; the others follow those.
 
 Each waiting watch and each change that it sees is a priced and limited call of the store. So the
-processes that have been there longest watch for all: a reader asks one of them for what is new, and
-asks the store itself whenever no such answer is to be had.
+two processes that have been there longest watch for all. Where two could not answer all others,
+the next ones relay: they follow the watchers, and answer readers as these do. A reader asks one of
+them for what is new, and asks the store itself whenever no such answer is to be had.
 """
 
 from __future__ import annotations
@@ -32,8 +33,10 @@
 
 log = logging.getLogger(__name__)
 
-PROCESSES_PER_WATCHER = 40
-FEWEST_WATCHERS = 2
+PROCESSES_PER_ANSWERER = 40
+"""A reader has three questions waiting: so many of them cost some 5 % of a slow core."""
+WATCHERS = 2
+"""Each change costs each watcher a call; a second one is there for when the first is not."""
 FEWEST_PROCESSES = 4
 """Below this each process watches by itself: there is little to save."""
 FRESH_SHARE = 0.4
@@ -42,6 +45,9 @@
 WATCH_SHARE = 0.7
 """Of the same time, a watcher's own watch lasts so much at most: it may have been deaf to a
 change, which a reader must still learn of in time."""
+RELAY_WAIT_SHARE = 0.2
+"""A relay's question waits so long, of the time for which a feed is fresh: the age of its answer,
+the wait and the next wait must add up to less."""
 ANSWER_SLACK_S = 0.3
 AVOID_S = 2.0
 """A watcher that did not answer is not asked again for so long, and twice as long each time after
@@ -91,12 +97,22 @@
     Examples
     ========
 
-    >>> [watcher_count(n) for n in (7, 13, 68, 420)]
-    [2, 2, 2, 11]
+    >>> [watcher_count(n) for n in (3, 7, 68, 420)]
+    [3, 2, 2, 2]
     """
-    if processes < FEWEST_PROCESSES:
-        return processes
-    return max(FEWEST_WATCHERS, math.ceil(processes / PROCESSES_PER_WATCHER))
+    return processes if processes < FEWEST_PROCESSES else WATCHERS
+
+
+def answerer_count(processes: int) -> int:
+    """How many of so many processes answer readers: the watchers, and relays where they need help.
+
+    Examples
+    ========
+
+    >>> [answerer_count(n) for n in (3, 7, 68, 420)]
+    [3, 2, 2, 11]
+    """
+    return max(watcher_count(processes), math.ceil(processes / PROCESSES_PER_ANSWERER))
 
 
 class PeerAsker(Protocol):
@@ -155,14 +171,17 @@
         follower.feed = PrefixFeed(self._fresh_s, self._answered_at)
         self._followers[follower.prefix] = follower
 
-    def _watchers(self) -> list[Peer]:
-        """Those that have been there longest; as each process works it out for itself.
+    def _answerers(self) -> list[Peer]:
+        """Those that have been there longest, watchers first; as each process works it out.
 
         One that did not answer twice is passed over, by each process that noticed.
         """
         processes = sorted(self._processes(), key=lambda peer: (peer.revision, peer.name))
         answering = [one for one in processes if not self._is_passed_over(one)]
-        return answering[: watcher_count(len(processes))]
+        return answering[: answerer_count(len(processes))]
+
+    def _watchers(self) -> list[Peer]:
+        return self._answerers()[: watcher_count(len(self._processes()))]
 
     def _is_avoided(self, peer: Peer) -> bool:
         return self._avoid_until.get(peer.name, 0.0) > time.monotonic()
@@ -171,15 +190,27 @@
         return self._is_avoided(peer) and self._avoided_for_s.get(peer.name, 0.0) > AVOID_S
 
     def is_watcher(self) -> bool:
-        """Whether this process watches the store itself, and answers others."""
+        """Whether this process watches the store itself."""
         watchers = self._watchers()
-        return not watchers or any(peer.name == self._process for peer in watchers)
+        return not watchers or self._is_among(watchers)
+
+    def is_answerer(self) -> bool:
+        """Whether this process answers others: it is a watcher or a relay."""
+        answerers = self._answerers()
+        return not answerers or self._is_among(answerers)
 
-    def _pick_watcher(self) -> Peer | None:
-        """One that may be asked now; None if the store itself is to be asked."""
+    def _is_among(self, peers: list[Peer]) -> bool:
+        return any(peer.name == self._process for peer in peers)
+
+    def _pick_answerer(self) -> Peer | None:
+        """One that may be asked now; None if the store itself is to be asked.
+
+        A relay asks watchers only, so that no two relays follow each other.
+        """
         if self.is_watcher():
             return None
-        found = [one for one in self._watchers() if not self._is_avoided(one)]
+        asked = self._watchers() if self.is_answerer() else self._answerers()
+        found = [one for one in asked if not self._is_avoided(one)]
         return random.choice(found) if found else None
 
     # --- WatchedStore
@@ -189,10 +220,10 @@
         return await self._store.get(key)
 
     async def page(self, prefix: str, after_key: str = "") -> Page:
-        """See WatchedStore; a watcher gives the whole prefix at once."""
-        watcher = self._pick_watcher() if not after_key else None
-        if watcher is not None:
-            answer = await self._try(watcher, FeedQuestion(prefix, -1, 0.0))
+        """See WatchedStore; who answers gives the whole prefix at once."""
+        answerer = self._pick_answerer() if not after_key else None
+        if answerer is not None:
+            answer = await self._try(answerer, FeedQuestion(prefix, -1, 0.0))
             if answer is not None and not answer.refusal and not self._is_older(prefix, answer):
                 changes = await self._whole(answer)
                 entries = [one for one in changes.changes if isinstance(one, Entry)]
@@ -207,15 +238,16 @@
     async def watch(self, prefix: str, after_revision: int, wait: float) -> Changes:
         """See WatchedStore.
 
-        One watcher is asked at most: the store itself is the next, so that two silent watchers
-        do not add up.
+        One process is asked at most: the store itself is the next, so that two silent ones do not
+        add up.
         """
         if self.is_watcher():
             return await self._watch_for_all(prefix, after_revision, wait)
-        watcher = self._pick_watcher()
-        if watcher is not None:
-            question = FeedQuestion(prefix, after_revision, self._fresh_s)
-            answer = await self._try(watcher, question)
+        answerer = self._pick_answerer()
+        if answerer is not None:
+            wait_s = self._fresh_s * (RELAY_WAIT_SHARE if self.is_answerer() else 1.0)
+            question = FeedQuestion(prefix, after_revision, wait_s)
+            answer = await self._try(answerer, question)
             if answer is not None and answer.refusal == REFUSED_COMPACTED:
                 raise HistoryCompacted(prefix)
             if answer is not None:
@@ -238,7 +270,7 @@
         return replace(seen, age_s=-min(wait_s, time.monotonic() - asked_at))
 
     def _has_readers(self) -> bool:
-        return len(self._watchers()) < len(self._processes())
+        return watcher_count(len(self._processes())) < len(self._processes())
 
     async def _try(self, peer: Peer, question: FeedQuestion) -> FeedAnswer | None:
         """Ask one watcher; None if it is of no use now."""
@@ -287,8 +319,8 @@
 
     async def _answer(self, question: FeedQuestion) -> FeedAnswer:
         follower = self._followers.get(question.prefix)
-        if follower is None or follower.feed is None or not self.is_watcher():
-            raise KeyValueUnavailable("this process is no watcher")
+        if follower is None or follower.feed is None or not self.is_answerer():
+            raise KeyValueUnavailable("this process answers nobody")
         if question.after_revision < 0:
             follower.feed.check_fresh()
             page = Changes(list(follower.entries.values()), follower.feed.revision)
--- a/tests/coordination/test_shared_watch.py
+++ b/tests/coordination/test_shared_watch.py
@@ -18,7 +18,14 @@
     Transaction,
     read_prefix,
 )
-from crankseam.coordination.shared_watch import Peer, SharedWatches, watcher_count
+from crankseam.coordination.shared_watch import (
+    PROCESSES_PER_ANSWERER,
+    WATCHERS,
+    Peer,
+    SharedWatches,
+    answerer_count,
+    watcher_count,
+)
 from crankseam.errors import KeyValueOutcomeUnknown, KeyValueUnavailable
 from crankseam_standins.memory_store import MemoryStore
 from tests.support.waiting import eventually
@@ -97,7 +104,10 @@
 def test_watchers_are_few_and_never_more_than_there_are_processes(processes):
     count = watcher_count(processes)
     assert 1 <= count <= processes
-    assert count == processes or count <= 2 + processes // 20
+    assert count == processes or count == WATCHERS, "a change costs the same at any size"
+    answerers = answerer_count(processes)
+    assert count <= answerers <= processes
+    assert processes / answerers <= PROCESSES_PER_ANSWERER
 
 
 async def test_changes_reach_all_while_few_call_the_store():
@@ -113,6 +123,37 @@
         assert all(way.calls > calls for way, calls in zip(fleet.ways[:2], before[:2], strict=True))
 
 
+async def test_relays_answer_where_there_are_many_and_do_not_call_the_store(monkeypatch):
+    monkeypatch.setattr(shared_watch, "PROCESSES_PER_ANSWERER", 5)
+    async with Fleet(20).following() as fleet:
+        relays = [one for one in fleet.watches if one.is_answerer() and not one.is_watcher()]
+        assert [one._process for one in relays] == ["p02", "p03"]
+        before = [way.calls for way in fleet.ways]
+        asked = set()
+        ask = fleet.ask
+
+        async def noted(address, body, longest_s):
+            asked.add(address)
+            return await ask(address, body, longest_s)
+
+        for watches in fleet.watches:
+            watches._ask = noted
+        for number in range(10):
+            await fleet.put(f"a/{number}")
+            await eventually(lambda number=number: fleet.have(f"a/{number}"))
+        await asyncio.sleep(1.0)
+        assert asked == {"a0", "a1", "a2", "a3"}, "watchers and relays share the readers"
+        assert [way.calls for way in fleet.ways][2:] == before[2:], "also when nothing changes"
+
+
+async def test_readers_of_a_relay_whose_watchers_are_silent_learn_in_time(monkeypatch):
+    monkeypatch.setattr(shared_watch, "PROCESSES_PER_ANSWERER", 5)
+    async with Fleet(20, in_force_s=0.3).following() as fleet:
+        fleet.silent = {0, 1}
+        await fleet.put("a/new")
+        await eventually(lambda: fleet.have("a/new"))
+
+
 async def test_readers_of_a_silent_watcher_turn_to_the_store():
     async with Fleet(20, in_force_s=0.3).following() as fleet:
         fleet.silent = {0, 1}
