Idle processes hold a long lease and renew it seldom

Change: an idle process holds a lease of 6 s, renewed each 2 s. Before it owns a job, takes the orders or answers readers it wins one of 1.8 s and announces itself under it; processes are ranked by when they announced themselves first. A peer that did not answer is asked no more for 3 s, since one that is gone is listed for longer.

--- a/src/crankseam/coordination/interface.py
+++ b/src/crankseam/coordination/interface.py
@@ -25,6 +25,8 @@
     revision: int
     """The store's counter at the last change of this key."""
     lease: int = NO_LEASE
+    created: int = 0
+    """The store's counter at the creation of this key; 0 if that was not told."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankseam/coordination/presence.py
+++ b/src/crankseam/coordination/presence.py
@@ -44,9 +44,16 @@
         self._known: list[str] = []
 
     def processes(self) -> list[Peer]:
-        """All that have told where they are, this process among them."""
+        """All that have told where they are, this process among them.
+
+        Who tells it again under another lease has been there no shorter.
+        """
         return [
-            Peer(key.removeprefix(self._prefix), entry.value.decode(), entry.revision)
+            Peer(
+                key.removeprefix(self._prefix),
+                entry.value.decode(),
+                entry.created or entry.revision,
+            )
             for key, entry in self._state.entries.items()
             if key.startswith(self._prefix)
         ]
--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -14,14 +14,21 @@
 
 LEASE_SECONDS = 1.8
 RENEW_SECONDS = 0.45
-IDLE_RENEW_SECONDS = 0.75
-"""Where nothing but this process's presence hangs on the lease: two renewals still fit its time."""
+IDLE_LEASE_SECONDS = 6.0
+"""Where nothing but this process's presence hangs on the lease. Nobody waits for its end: who asks
+a process that is gone asks another one next."""
+IDLE_RENEW_SECONDS = 2.0
+"""Two renewals fit the time of an idle lease, and a third until the store takes it back."""
 DRIFT_MARGIN_SECONDS = 0.25
 """The holder gives up this much earlier than the store takes back."""
 
 
 class ProcessLease:
-    """Keeps a lease alive; replaces it when it is over."""
+    """Keeps a lease alive; replaces it when it is over.
+
+    An idle process holds a long lease, which is renewed seldom. Before others rely on it, it wins
+    a short one, under which its presence is told anew; the long one runs out by itself.
+    """
 
     def __init__(self, store: CoordinationStore) -> None:
         self._store = store
@@ -35,6 +42,8 @@
         self.is_ended = False
         """Set by a planned end: what hangs on the lease is for other processes from then on."""
         self.number = 0
+        self._is_short = False
+        self._short_won = asyncio.Event()
         self._held_until = float("-inf")
         self._renewing = asyncio.Lock()
 
@@ -47,13 +56,21 @@
         while True:
             if not self.is_ended:
                 await self._renew_once()
-            relied_on = any(says() for says in self.relied_on)
-            await asyncio.sleep(RENEW_SECONDS if relied_on else IDLE_RENEW_SECONDS)
+            await self._wait_to_renew()
+
+    async def _wait_to_renew(self) -> None:
+        """Wait for the next renewal; a short lease that is won meanwhile has its own times."""
+        self._short_won.clear()
+        try:
+            async with asyncio.timeout(RENEW_SECONDS if self._is_short else IDLE_RENEW_SECONDS):
+                await self._short_won.wait()
+        except TimeoutError:
+            return
 
     async def _renew_once(self) -> None:
         try:
             async with self._renewing:
-                await self._renew_or_replace()
+                await self._renew_or_replace(self._is_relied_on())
         except KeyValueError as error:
             if not self._failing and not self.is_ended:
                 log.warning("store_lost", extra={"error": type(error).__name__})
@@ -62,32 +79,41 @@
         self._answered()
 
     async def ensure(self) -> int:
-        """The number of a lease that is held, renewed or won anew if need be.
+        """The number of a short lease that is held, renewed or won anew if need be.
 
         Raises:
             KeyValueError: the store did not give one.
             KeyValueUnavailable: none is won any more, since the planned end.
         """
-        if not self.is_held():
+        if not self.is_held() or not self._is_short:
             async with self._renewing:
-                if not self.is_held():
-                    await self._renew_or_replace()
+                if not self.is_held() or not self._is_short:
+                    await self._renew_or_replace(True)
         return self.number
 
+    def _is_relied_on(self) -> bool:
+        return any(says() for says in self.relied_on)
+
     def forget(self) -> None:
         """The store said that the lease is over."""
         self.number = 0
         self._held_until = float("-inf")
 
-    async def _renew_or_replace(self) -> None:
+    async def _renew_or_replace(self, short: bool) -> None:
+        """Renew the lease, or win one: a short one if it must be, or if the last one was."""
         if self.is_ended:
             raise KeyValueUnavailable("the lease was ended")
         asked_at = time.monotonic()
-        if self.number == 0:
-            number, duration = await self._store.grant_lease(LEASE_SECONDS)
+        if self.number == 0 or (short and not self._is_short):
+            seconds = LEASE_SECONDS if short else IDLE_LEASE_SECONDS
+            number, duration = await self._store.grant_lease(seconds)
             self.number = number
+            self._is_short = short
+            self._held_until = float("-inf")
+            if short:
+                self._short_won.set()
             self._hold(asked_at, duration)
-            log.info("lease_won", extra={"lease": number})
+            log.info("lease_won", extra={"lease": number, "seconds": duration})
             for notify in self.on_new:
                 notify(number)
             return
@@ -96,7 +122,7 @@
         except LeaseExpired:
             log.warning("lease_lost", extra={"lease": self.number})
             self.forget()
-            await self._renew_or_replace()
+            await self._renew_or_replace(short)
             return
         self._hold(asked_at, duration)
 
--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -41,6 +41,8 @@
 PROBE_SECONDS = 1.0
 """How often the own way is tried meanwhile."""
 PEER_SLACK_SECONDS = 1.5
+PEER_AVOIDED_SECONDS = 3.0
+"""A peer that did not answer is asked no more for so long: it may be gone and still be listed."""
 
 _ERRORS: dict[str, type[KeyValueError]] = {
     error.__name__: error
@@ -154,6 +156,8 @@
         self._failing_since: float | None = None
         self._probed_at = float("-inf")
         self._through_peers = False
+        self._avoid_until: dict[str, float] = {}
+        """Monotonic time until which a peer is asked only if there is no other, by address."""
         self.answered_at = float("-inf")
         """Monotonic time at which the newest call was sent that the store answered directly."""
 
@@ -226,22 +230,31 @@
             self._probed_at = self._failing_since
 
     async def _ask_peer(self, call: RelayCall) -> RelayAnswer:
-        peers = self._peers()
-        if not peers:
-            raise KeyValueUnavailable("no peer is known")
         raw = msgspec.msgpack.encode(call)
-        peer = random.choice(peers)
+        peer = self._pick_peer()
         try:
             encoded = await self._call_peer(peer, raw, call.wait + PEER_SLACK_SECONDS)
             answer = msgspec.msgpack.decode(encoded, type=RelayAnswer)
         except msgspec.DecodeError as error:
             raise KeyValueOutcomeUnknown("malformed answer of a peer") from error
+        except KeyValueError:
+            self._avoid_until[peer] = time.monotonic() + PEER_AVOIDED_SECONDS
+            raise
         _raise_error(answer)
         if not self._through_peers:
             self._through_peers = True
             log.warning("store_through_peers", extra={"peer": peer})
         return answer
 
+    def _pick_peer(self) -> str:
+        """Any peer; one that did not answer lately only if there is no other."""
+        peers = self._peers()
+        if not peers:
+            raise KeyValueUnavailable("no peer is known")
+        now = time.monotonic()
+        answering = [one for one in peers if self._avoid_until.get(one, 0.0) <= now]
+        return random.choice(answering or peers)
+
     async def get(self, key: str) -> Entry | None:
         """See CoordinationStore."""
         answer = await self._make(RelayCall("get", key=key))
--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -124,7 +124,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Peer:
-    """Another process, or this one: its name and ``ip:port``, and when it announced itself."""
+    """A process: its name and ``ip:port``, and when it first announced itself."""
 
     name: str
     address: str
--- a/src/crankseam/jobs/claims.py
+++ b/src/crankseam/jobs/claims.py
@@ -144,7 +144,7 @@
             if job_id not in self._running.runners and not self._was_own(job_id):
                 await asyncio.sleep(self._claim_delay_s(job_id))
             while self._needs_owner(job_id) and self.active:
-                if self._lease.is_held() and await self._claim(job_id):
+                if await self._claim(job_id):
                     return
                 await asyncio.sleep(random.uniform(0.5, 1.0) * RECLAIM_S)
         finally:
@@ -174,8 +174,8 @@
 
     async def _claim(self, job_id: str) -> bool:
         """Try once; True when there is nothing left to try."""
-        lease = self._lease.number
         try:
+            lease = await self._lease.ensure()
             if not await self._repository.claim(job_id, lease):
                 return True
             if job_id in self._running.runners:
--- a/src/crankseam/orders/holder.py
+++ b/src/crankseam/orders/holder.py
@@ -122,6 +122,13 @@
 
     async def try_acquire(self) -> None:
         """Try once to become the holder."""
+        if not self.may_try():
+            return
+        try:
+            lease = await self._lease.ensure()
+        except KeyValueError as error:
+            log.warning("orders_not_won", extra={"error": type(error).__name__})
+            return
         if not self.may_try():
             return
         current, last = self._current(), self._state.entries.get(self._last_key)
@@ -130,7 +137,7 @@
             Condition(self._last_key, last.revision if last is not None else ABSENT),
         ]
         name = self._process.encode()
-        puts = [Put(self._holder_key, name, self._lease.number), Put(self._last_key, name)]
+        puts = [Put(self._holder_key, name, lease), Put(self._last_key, name)]
         try:
             revision = await self._store.commit(Transaction(conditions, puts))
         except TransactionConflict:
--- a/src/crankseam_standins/memory_store.py
+++ b/src/crankseam_standins/memory_store.py
@@ -163,7 +163,9 @@
     def _do(self, transaction: Transaction) -> int:
         self.revision += 1
         for put in transaction.puts:
-            entry = Entry(put.key, put.value, self.revision, put.lease)
+            known = self.entries.get(put.key)
+            created = known.created if known is not None else self.revision
+            entry = Entry(put.key, put.value, self.revision, put.lease, created)
             self.entries[put.key] = entry
             self.log.append(entry)
         for key in transaction.removals:
--- a/tests/coordination/test_process_lease.py
+++ b/tests/coordination/test_process_lease.py
@@ -3,7 +3,11 @@
 import pytest
 
 from crankseam.coordination.interface import Put, Transaction
-from crankseam.coordination.process_lease import ProcessLease
+from crankseam.coordination.process_lease import (
+    IDLE_LEASE_SECONDS,
+    LEASE_SECONDS,
+    ProcessLease,
+)
 from crankseam.errors import KeyValueUnavailable
 from crankseam_standins.memory_store import MemoryStore
 from tests.support.waiting import eventually
@@ -50,6 +54,35 @@
     assert "k" not in store.entries and not lease.is_held()
 
 
+async def test_an_idle_lease_is_long_and_a_short_one_is_won_before_others_rely_on_it():
+    store, new = MemoryStore(), []
+    lease = ProcessLease(store)
+    lease.on_new.append(new.append)
+    task = asyncio.create_task(lease.run())
+    await eventually(lambda: lease.is_held())
+    idle = lease.number
+    assert store._leases[idle][1] == IDLE_LEASE_SECONDS
+    number = await lease.ensure()
+    assert number != idle and store._leases[number][1] == LEASE_SECONDS
+    assert await lease.ensure() == number and new == [idle, number]
+    await asyncio.sleep(LEASE_SECONDS + 0.3)
+    assert lease.number == number and lease.is_held(), "renewed in time from the first moment on"
+    task.cancel()
+
+
+async def test_a_process_that_others_rely_on_wins_a_short_lease():
+    store, needed = MemoryStore(), []
+    lease = ProcessLease(store)
+    lease.relied_on.append(lambda: bool(needed))
+    await lease._renew_once()
+    idle = lease.number
+    await lease._renew_once()
+    assert lease.number == idle
+    needed.append(1)
+    await lease._renew_once()
+    assert lease.number != idle and store._leases[lease.number][1] == LEASE_SECONDS
+
+
 async def test_no_lease_is_won_after_the_planned_end(monkeypatch):
     monkeypatch.setattr("crankseam.coordination.process_lease.RENEW_SECONDS", 0.01)
     monkeypatch.setattr("crankseam.coordination.process_lease.IDLE_RENEW_SECONDS", 0.01)
