Late in a step more samplers load the newest version, for the next step

Cause: where jobs allow a version that is one behind, half of a model's samplers load each. As the next step begins, the other half is too old for it and loads then; its items wait that long for a place. Ruled out: prompts read again and places after a load (0.1 to 0.2 s). Change: after 0.55 of the smoothed time between two named versions, when most items have ended and those broken off find room at once, more samplers load: up to an equal share of the service, which costs nothing.

--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -41,6 +41,11 @@
 RETRY_SECONDS = 0.3
 LOAD_DELAY_SECONDS = 0.8
 """A trainer asks for a step as it names a version: its burst goes out before samplers load."""
+LATE_SHARE = 0.55
+"""After so much of the time between two named versions most items of a step have ended: a load
+breaks few runs off, and those find room elsewhere at once."""
+INTERVAL_WEIGHT = 0.5
+"""How much the newest time between two named versions counts."""
 ACQUIRE_SPREAD_SECONDS = 0.3
 
 
@@ -105,6 +110,8 @@
         self._paces = paces if paces is not None else SamplerPaces()
         self._named: dict[str, int] = {}
         self._named_at: dict[str, float] = {}
+        self._interval_s: dict[str, float] = {}
+        """Smoothed seconds between two named versions, by model."""
         self._load_from: dict[str, float] = {}
         self._loading: dict[str, _Load] = {}
         """Loads under way by the sampler's id."""
@@ -124,7 +131,11 @@
             self._named[model] = version
             now = time.monotonic()
             # The first one seen may have been named long before this process began.
-            behind = now - self._named_at.get(model, now) < HURRIED_SECONDS
+            passed_s = now - self._named_at.get(model, now)
+            behind = passed_s < HURRIED_SECONDS
+            if passed_s > 0.0:
+                known_s = self._interval_s.get(model, passed_s)
+                self._interval_s[model] = known_s + INTERVAL_WEIGHT * (passed_s - known_s)
             self._named_at[model] = now
             self._load_from[model] = now if behind else now + LOAD_DELAY_SECONDS
             log.info("version_named", extra={"model": model, "version": version})
@@ -188,7 +199,8 @@
         """Samplers that can't serve the newest job, and some others: not all may come due at once.
 
         Where jobs may be served by a version that is `lag` older than the newest, each load serves
-        `lag` + 1 jobs, so that a part of the samplers loads each version and the others go on.
+        `lag` + 1 jobs, so that a part of the samplers loads each version and the others go on. Late
+        in a step more of them load, as many as cost nothing, for the next step to begin on.
         """
         named = self._named[model]
         needed = self._demand.needed_version(model)
@@ -198,6 +210,8 @@
         if self._load_from[model] > time.monotonic():
             return due
         share = math.ceil(len(back_ends) / (named - usable_from + 1))
+        if self._is_late(model):
+            share = max(share, min(len(back_ends), self._free_loads(back_ends)))
         missing = share - (len(back_ends) - len(behind)) - len(due)
         usable = sorted(
             (one for one in behind if one.version_of(model) >= usable_from),
@@ -205,6 +219,18 @@
         )
         return due + usable[: max(0, missing)]
 
+    def _is_late(self, model: str) -> bool:
+        """Whether the step that began when the newest version was named nears its end."""
+        interval_s = self._interval_s.get(model)
+        passed_s = time.monotonic() - self._named_at[model]
+        return interval_s is not None and passed_s >= LATE_SHARE * interval_s
+
+    def _free_loads(self, back_ends: list[BackEnd]) -> int:
+        """An equal share of the service's samplers: so many loads of a version cost nothing."""
+        service = self._registry.of_service(back_ends[0].record.service)
+        models = {model for one in service for model in one.record.versions}
+        return math.ceil(len(service) / max(1, len(models)))
+
     def _current_assignment(self) -> dict[str, list[BackEnd]]:
         """Worked out now and then: at thousands of samplers it takes a while."""
         now = time.monotonic()
--- a/tests/orders/test_version_coordinator.py
+++ b/tests/orders/test_version_coordinator.py
@@ -2,9 +2,11 @@
 
 import pytest
 
+from crankseam.orders import version_coordinator as module
 from crankseam.orders.messages import RunningRequests, SamplerReport
 from crankseam.orders.version_coordinator import VersionCoordinator
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
+from tests.support.clock import FakeClock
 from tests.support.waiting import eventually
 
 MODELS = ["a", "b", "c"]
@@ -135,6 +137,24 @@
     assert set(second) == {f"i-{number:02d}" for number in range(6)} - set(first)
 
 
+@pytest.mark.parametrize(("models", "late"), [(1, 12), (2, 6)])
+async def test_late_in_a_step_as_many_load_as_cost_nothing(monkeypatch, models, late):
+    """Else half of the samplers would be too old for the next step, and load as it begins."""
+    clock = FakeClock()
+    monkeypatch.setattr(module, "time", clock)
+    coordinator, _ = coordinator_of(12, MODELS[:models], Demand(needed=1))
+    coordinator.version_named("a", 1)
+    clock.now += 10.0
+    coordinator.version_named("a", 2)
+    clock.now += 0.5 * module.LATE_SHARE * 10.0
+    assert len(due_ids(coordinator)) == 6
+    for key in due_ids(coordinator):
+        coordinator._registry.by_id(key).observed_versions["a"] = 2
+    assert due_ids(coordinator) == []
+    clock.now += 0.6 * module.LATE_SHARE * 10.0
+    assert len(due_ids(coordinator)) == late - 6
+
+
 async def test_a_sampler_that_can_not_serve_the_newest_job_loads_without_delay():
     coordinator, _ = coordinator_of(6, MODELS[:1], Demand(needed=2))
     coordinator.version_named("a", 3)
