--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -100,7 +100,7 @@
         self._held_until = float("-inf")
 
     async def _renew_or_replace(self, short: bool) -> None:
-        """Renew the lease, or win one: a short one if it must be, or if the last one was."""
+        """Renew the lease; win one if there is none, or if it must be short and is not."""
         if self.is_ended:
             raise KeyValueUnavailable("the lease was ended")
         asked_at = time.monotonic()
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -8,7 +8,13 @@
 
 from crankseam.backoff import Backoff
 from crankseam.coordination.follower import WATCH_SECONDS, PrefixFollower
-from crankseam.coordination.interface import CoordinationStore, Entry, LeaseExpired, WatchedStore
+from crankseam.coordination.interface import (
+    NO_LEASE,
+    CoordinationStore,
+    Entry,
+    LeaseExpired,
+    WatchedStore,
+)
 from crankseam.coordination.process_lease import ProcessLease
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.carried import CarriedTexts
@@ -32,8 +38,6 @@
 """A job runs, unlisted, when its acceptance takes longer than this."""
 MOST_ITEMS = 512
 """Items that a process runs while it takes jobs from others; their events need processor time."""
-NO_LEASE = 0
-"""A job that is accepted under no lease has no owner."""
 RETRY_BASE_SECONDS = 0.1
 RETRY_CAP_SECONDS = 0.5
 
@@ -178,7 +182,7 @@
             self.running.drop_unaccepted(job.id)
 
     async def _accept(self, job: JobDefinition, deadline: float) -> tuple[bool, int]:
-        """Write the job; whether this call accepted it, and the lease that owns it (0: none)."""
+        """Write the job; whether this call accepted it, and the lease that owns it, if one does."""
         backoff = Backoff(RETRY_BASE_SECONDS, RETRY_CAP_SECONDS)
         unknown = False
         while True:
