--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -38,13 +38,16 @@
     ),
     "store_direct_again": LogEvent("The store serves this process again."),
     "watcher_avoided": LogEvent(
-        "A process that watches the store for others is not asked for a while.",
+        "A process that watches the store for others, or relays, is not asked for a while.",
         ("peer", "error"),
     ),
     "presence_not_told": LogEvent("Telling peers the address failed.", ("error",)),
     "follow_failed": LogEvent("A watch or range failed and is tried again.", ("prefix", "error")),
     "history_compacted": LogEvent("The store dropped its history; read anew.", ("prefix",)),
-    "lease_won": LogEvent("This process has a new lease.", ("lease",)),
+    "lease_won": LogEvent(
+        "This process has a new lease: a long one while idle, a short one once others rely on it.",
+        ("lease", "seconds"),
+    ),
     "lease_lost": LogEvent("The lease is over; its keys are gone.", ("lease",)),
     "lease_not_ended": LogEvent("Giving the lease back failed; it runs out.", ("error",)),
     # --- configuration and back ends
@@ -76,8 +79,8 @@
     "stream_broken": LogEvent("A stream was cut in the middle.", ("request", "reason")),
     # --- jobs
     "job_accepted": LogEvent(
-        "A job lasts from now on; `again`: it did before.",
-        ("job", "step", "items", "min_version", "again"),
+        "A job lasts from now on; `again`: it did before; `owned`: it runs here, not elsewhere.",
+        ("job", "step", "items", "min_version", "again", "owned"),
     ),
     "job_run_ahead": LogEvent(
         "Its acceptance takes long: it runs already, and nothing is listed.", ("job",)
@@ -167,6 +170,10 @@
     "version_ordered": LogEvent(
         "A sampler was ordered to load.", ("back_end", "model", "version", "fence", "sequence")
     ),
+    "samplers_shared": LogEvent(
+        "The samplers of a service are shared anew between its models, by the work of their items.",
+        ("service", "shares"),
+    ),
     "version_loaded": LogEvent("A sampler reports the version.", ("back_end", "model", "version")),
     "order_failed": LogEvent(
         "An order failed and is tried again.", ("back_end", "model", "version", "error")
