--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -223,7 +223,9 @@
         """Whether the step that began when the newest version was named nears its end."""
         interval_s = self._interval_s.get(model)
         passed_s = time.monotonic() - self._named_at[model]
-        return interval_s is not None and passed_s >= LATE_SHARE * interval_s
+        if interval_s is None:
+            return False
+        return passed_s >= LATE_SHARE * max(interval_s, HURRIED_SECONDS)
 
     def _free_loads(self, back_ends: list[BackEnd]) -> int:
         """An equal share of the service's samplers: so many loads of a version cost nothing."""
