--- a/src/crankseam/orders/holder.py
+++ b/src/crankseam/orders/holder.py
@@ -56,10 +56,14 @@
     def _current(self) -> Entry | None:
         return self._state.entries.get(self._holder_key)
 
+    def _own(self) -> Entry | None:
+        """The holder's key, if it names this process, under whichever lease."""
+        current = self._current()
+        return current if current is not None and current.value == self._process.encode() else None
+
     def is_holder(self) -> bool:
         """Whether this process is known to hold the right, under whichever lease."""
-        current = self._current()
-        return current is not None and current.value == self._process.encode()
+        return self._own() is not None
 
     def is_vacant(self) -> bool:
         """Whether nobody is known to hold the right. Must be called often: it dates the vacancy."""
@@ -72,10 +76,8 @@
 
     def _is_own_earlier_life(self) -> bool:
         """Whether the right hangs on a lease that this process had before it started again."""
-        entry = self._current()
-        if entry is None or entry.value != self._process.encode():
-            return False
-        return entry.lease != self._lease.number
+        entry = self._own()
+        return entry is not None and entry.lease != self._lease.number
 
     def may_try(self) -> bool:
         """Whether it is this process's turn to try to become the holder."""
@@ -96,15 +98,13 @@
 
     def _is_refused(self) -> bool:
         """Whether the right is held here under a token that was refused; a new one is needed."""
-        entry = self._current()
-        if entry is None or entry.value != self._process.encode():
-            return False
-        return entry.revision <= self._refused_fence
+        entry = self._own()
+        return entry is not None and entry.revision <= self._refused_fence
 
     def fence(self) -> int | None:
         """The token under which an order may be given right now; None if none may."""
-        entry = self._current()
-        if entry is None or entry.value != self._process.encode():
+        entry = self._own()
+        if entry is None:
             return None
         if entry.lease != self._lease.number or not self._lease.is_held():
             return None
