Watches: who watches and who answers is worked out once a question

A reader's question sorted all processes up to eight times (is_watcher, is_answerer and the choice each did it anew, twice for the watchers), which grows with the fleet and stands on the way of each of a process's three waiting questions. Roles are worked out once and passed on.

--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -131,6 +131,14 @@
     revision: int
 
 
+@dataclass(frozen=True, slots=True)
+class _Roles:
+    """Who watches the store, and who answers readers: the watchers and the relays."""
+
+    watchers: list[Peer]
+    answerers: list[Peer]
+
+
 class SharedWatches:
     """See WatchedStore; asks a watcher where there is one, else the store.
 
@@ -171,17 +179,18 @@
         follower.feed = PrefixFeed(self._fresh_s, self._answered_at)
         self._followers[follower.prefix] = follower
 
-    def _answerers(self) -> list[Peer]:
-        """Those that have been there longest, watchers first; as each process works it out.
+    def _roles(self) -> _Roles:
+        """Those that have been there longest; as each process works it out for itself.
 
         One that did not answer twice is passed over, by each process that noticed.
         """
         processes = sorted(self._processes(), key=lambda peer: (peer.revision, peer.name))
         answering = [one for one in processes if not self._is_passed_over(one)]
-        return answering[: answerer_count(len(processes))]
+        count = len(processes)
+        return _Roles(answering[: watcher_count(count)], answering[: answerer_count(count)])
 
     def _watchers(self) -> list[Peer]:
-        return self._answerers()[: watcher_count(len(self._processes()))]
+        return self._roles().watchers
 
     def _is_avoided(self, peer: Peer) -> bool:
         return self._avoid_until.get(peer.name, 0.0) > time.monotonic()
@@ -191,25 +200,24 @@
 
     def is_watcher(self) -> bool:
         """Whether this process watches the store itself."""
-        watchers = self._watchers()
-        return not watchers or self._is_among(watchers)
+        return self._has_role(self._watchers())
 
     def is_answerer(self) -> bool:
         """Whether this process answers others: it is a watcher or a relay."""
-        answerers = self._answerers()
-        return not answerers or self._is_among(answerers)
+        return self._has_role(self._roles().answerers)
 
-    def _is_among(self, peers: list[Peer]) -> bool:
-        return any(peer.name == self._process for peer in peers)
+    def _has_role(self, peers: list[Peer]) -> bool:
+        """Whether this process is among them; where nobody is known, each acts for itself."""
+        return not peers or any(peer.name == self._process for peer in peers)
 
-    def _pick_answerer(self) -> Peer | None:
+    def _pick_answerer(self, roles: _Roles) -> Peer | None:
         """One that may be asked now; None if the store itself is to be asked.
 
         A relay asks watchers only, so that no two relays follow each other.
         """
-        if self.is_watcher():
+        if self._has_role(roles.watchers):
             return None
-        asked = self._watchers() if self.is_answerer() else self._answerers()
+        asked = roles.watchers if self._has_role(roles.answerers) else roles.answerers
         found = [one for one in asked if not self._is_avoided(one)]
         return random.choice(found) if found else None
 
@@ -221,7 +229,7 @@
 
     async def page(self, prefix: str, after_key: str = "") -> Page:
         """See WatchedStore; who answers gives the whole prefix at once."""
-        answerer = self._pick_answerer() if not after_key else None
+        answerer = self._pick_answerer(self._roles()) if not after_key else None
         if answerer is not None:
             answer = await self._try(answerer, FeedQuestion(prefix, -1, 0.0))
             if answer is not None and not answer.refusal and not self._is_older(prefix, answer):
@@ -241,11 +249,12 @@
         One process is asked at most: the store itself is the next, so that two silent ones do not
         add up.
         """
-        if self.is_watcher():
+        roles = self._roles()
+        if self._has_role(roles.watchers):
             return await self._watch_for_all(prefix, after_revision, wait)
-        answerer = self._pick_answerer()
+        answerer = self._pick_answerer(roles)
         if answerer is not None:
-            wait_s = self._fresh_s * (RELAY_WAIT_SHARE if self.is_answerer() else 1.0)
+            wait_s = self._fresh_s * (RELAY_WAIT_SHARE if self._has_role(roles.answerers) else 1.0)
             question = FeedQuestion(prefix, after_revision, wait_s)
             answer = await self._try(answerer, question)
             if answer is not None and answer.refusal == REFUSED_COMPACTED:
