API keys and tenants: a request needs a known key, names its tenant to the back end and nothing more

Cause: there were no tenants in the system. Ruled out: a check by connection (a key that goes must be refused on kept connections).

--- a/src/crankseam/coordination/duty.py
+++ b/src/crankseam/coordination/duty.py
@@ -1,9 +1,14 @@
-"""The right to give orders: a key under this process's lease, whose revision is the fence."""
+"""A duty that one process holds at a time: a key under its lease, whose revision is the fence.
+
+Orders to samplers, usage reports and the ordering of samplers are held so.
+"""
 
 from __future__ import annotations
 
+import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import (
@@ -16,21 +21,39 @@
     TransactionConflict,
 )
 from crankseam.coordination.process_lease import ProcessLease
-from crankseam.errors import KeyValueError
+from crankseam.coordination.ranking import turn_delay_s
+from crankseam.errors import CrankseamError, KeyValueError
 
 log = logging.getLogger(__name__)
 
 TURN_MARGIN_SECONDS = 0.2
 FORMER_HOLDER_FIRST_SECONDS = 0.4
-"""A former holder that is back needs no pause, so others leave the right to it for this long."""
+"""A former holder that is back needs no pause, so others leave the duty to it for this long."""
+
+
+class DutyFenced(CrankseamError):
+    """Whoever is acted upon has seen a higher token: this holder must stop."""
+
+
+class DutyRefused(CrankseamError):
+    """Nothing was done."""
+
 
+class DutyUnanswered(CrankseamError):
+    """It may have been done, or may be done seconds later."""
 
-class OrderHolder:
-    """At most one process holds the right; it is proved before each order.
 
-    Args:
-        state: follows the prefix below which the two keys of the right stand.
-        turn_pause: seconds between an order of one holder and the first of the next.
+class Duty:
+    """At most one process holds the duty; it is proved before each act.
+
+    Parameters
+    ==========
+
+    name : what the duty is; each has two keys of its own.
+    state : follows the prefix below which the keys stand.
+    process : this process's name.
+    turn_pause : seconds between an act of one holder and the first of the next.
+    processes : names of all living processes; where given, they try in the order of their ranks.
     """
 
     def __init__(
@@ -39,18 +62,22 @@
         state: PrefixFollower,
         lease: ProcessLease,
         process: str,
+        name: str,
         turn_pause: float,
+        processes: Callable[[], list[str]] | None = None,
     ) -> None:
+        self.name = name
+        self._processes = processes
         self._store = store
         self._state = state
         self._lease = lease
         self._process = process
         self._turn_pause = turn_pause + TURN_MARGIN_SECONDS
-        self._holder_key = state.prefix + "orders/holder"
-        self._last_key = state.prefix + "orders/last"
+        self._holder_key = f"{state.prefix}{name}/holder"
+        self._last_key = f"{state.prefix}{name}/last"
         self._vacant_since: float | None = None
         self._held_revision = 0
-        self._may_order_at = float("inf")
+        self._may_act_at = float("inf")
         self._refused_fence = 0
 
     def _current(self) -> Entry | None:
@@ -61,12 +88,22 @@
         current = self._current()
         return current if current is not None and current.value == self._process.encode() else None
 
+    @property
+    def holder_key(self) -> str:
+        """The key that stands while somebody holds the duty; its revision is the fence."""
+        return self._holder_key
+
     def is_holder(self) -> bool:
-        """Whether this process is known to hold the right, under whichever lease."""
+        """Whether this process is known to hold the duty, under whichever lease."""
         return self._own() is not None
 
+    def holder(self) -> str | None:
+        """The process that is known to hold the duty."""
+        current = self._current()
+        return current.value.decode() if current is not None else None
+
     def is_vacant(self) -> bool:
-        """Whether nobody is known to hold the right. Must be called often: it dates the vacancy."""
+        """Whether nobody is known to hold the duty. Must be called often: it dates the vacancy."""
         vacant = self._state.synchronized and self._current() is None
         if not vacant:
             self._vacant_since = None
@@ -75,7 +112,7 @@
         return vacant
 
     def _is_own_earlier_life(self) -> bool:
-        """Whether the right hangs on a lease that this process had before it started again."""
+        """Whether the duty hangs on a lease that this process had before it started again."""
         entry = self._own()
         return entry is not None and entry.lease != self._lease.number
 
@@ -93,16 +130,16 @@
         return time.monotonic() - self._vacant_since >= FORMER_HOLDER_FIRST_SECONDS
 
     def refuse(self, fence: int) -> None:
-        """A sampler has seen a higher token than this one: it is not used again."""
+        """Whoever is acted upon has seen a higher token than this one: it is not used again."""
         self._refused_fence = max(self._refused_fence, fence)
 
     def _is_refused(self) -> bool:
-        """Whether the right is held here under a token that was refused; a new one is needed."""
+        """Whether the duty is held here under a token that was refused; a new one is needed."""
         entry = self._own()
         return entry is not None and entry.revision <= self._refused_fence
 
     def fence(self) -> int | None:
-        """The token under which an order may be given right now; None if none may."""
+        """The token under which to act right now; None if this process may not."""
         entry = self._own()
         if entry is None:
             return None
@@ -113,12 +150,29 @@
         if entry.revision != self._held_revision:
             # Won by a call whose answer was lost.
             self._won(entry.revision, self._turn_pause)
-        return entry.revision if time.monotonic() >= self._may_order_at else None
+        return entry.revision if time.monotonic() >= self._may_act_at else None
 
     def _won(self, revision: int, pause: float) -> None:
         self._held_revision = revision
-        self._may_order_at = time.monotonic() + pause
-        log.info("orders_won", extra={"fence": revision, "pause": pause})
+        self._may_act_at = time.monotonic() + pause
+        log.info("duty_won", extra={"duty": self.name, "fence": revision, "pause": pause})
+
+    async def take_turn(self) -> int | None:
+        """Try to become the holder if nobody is; the token under which to act now, if any.
+
+        Must be called often: it dates the vacancy.
+        """
+        self.is_vacant()
+        if self.may_try():
+            await asyncio.sleep(self._delay_s())
+            await self.try_acquire()
+        return self.fence()
+
+    def _delay_s(self) -> float:
+        """How long this process leaves the duty to those that rank before it."""
+        if self._processes is None or self._own() is not None:
+            return 0.0
+        return turn_delay_s(self.name, self._processes(), self._process)
 
     async def try_acquire(self) -> None:
         """Try once to become the holder."""
@@ -127,7 +181,7 @@
         try:
             lease = await self._lease.ensure()
         except KeyValueError as error:
-            log.warning("orders_not_won", extra={"error": type(error).__name__})
+            log.warning("duty_not_won", extra={"duty": self.name, "error": type(error).__name__})
             return
         if not self.may_try():
             return
@@ -143,13 +197,13 @@
         except TransactionConflict:
             return
         except KeyValueError as error:
-            log.warning("orders_not_won", extra={"error": type(error).__name__})
+            log.warning("duty_not_won", extra={"duty": self.name, "error": type(error).__name__})
             return
         was_someone_else = last is not None and last.value != name
         self._won(revision, self._remaining_pause() if was_someone_else else 0.0)
 
     def _remaining_pause(self) -> float:
-        """The former holder gave no order after its key was gone, which was seen a while ago."""
+        """The former holder did not act after its key was gone, which was seen a while ago."""
         if self._vacant_since is None:
             return self._turn_pause
         return max(0.0, self._turn_pause - (time.monotonic() - self._vacant_since))
--- a/src/crankseam/errors.py
+++ b/src/crankseam/errors.py
@@ -134,6 +134,13 @@
     type = "bad-request"
 
 
+class Unauthorized(Problem):
+    """The caller showed no API key that is known."""
+
+    status = 401
+    type = "unauthorized"
+
+
 class Forbidden(Problem):
     """The caller did not show a key that is needed here."""
 
--- a/src/crankseam/jobs/carried.py
+++ b/src/crankseam/jobs/carried.py
@@ -33,6 +33,7 @@
 @dataclass(frozen=True)
 class _EndedJob:
     model: str
+    tenant: str
     items: dict[str, ItemDefinition]
     texts: MadeTexts
 
@@ -45,7 +46,9 @@
 
     def keep(self, job: JobDefinition, texts: MadeTexts) -> None:
         """Keep what was made of a job that ended."""
-        self._ended[job.id] = _EndedJob(job.model, {item.id: item for item in job.items}, texts)
+        self._ended[job.id] = _EndedJob(
+            job.model, job.tenant, {item.id: item for item in job.items}, texts
+        )
         while len(self._ended) > KEPT_JOBS:
             self._ended.popitem(last=False)
 
@@ -69,7 +72,9 @@
     @staticmethod
     def _is_same(item: ItemDefinition, job: JobDefinition, ended: _EndedJob) -> bool:
         earlier = ended.items.get(item.id)
-        return earlier is not None and earlier.body == item.body and ended.model == job.model
+        if earlier is None or ended.tenant != job.tenant:
+            return False
+        return earlier.body == item.body and ended.model == job.model
 
     @staticmethod
     def _take(
--- a/src/crankseam/jobs/claims.py
+++ b/src/crankseam/jobs/claims.py
@@ -12,9 +12,9 @@
 from crankseam.coordination.interface import Entry
 from crankseam.coordination.presence import PROCESS_FOLDER
 from crankseam.coordination.process_lease import ProcessLease
+from crankseam.coordination.ranking import turn_delay_s
 from crankseam.errors import KeyValueError
 from crankseam.jobs.demand import ModelDemand, decode_open_job
-from crankseam.jobs.ranking import rank_processes
 from crankseam.jobs.repository import OPEN_PREFIX, OWNER_PREFIX, STATE_PREFIX, JobRepository
 from crankseam.jobs.running import RunningJobs
 from crankseam.serving.supervisor import Supervisor
@@ -23,13 +23,6 @@
 
 PROCESS_PREFIX = STATE_PREFIX + PROCESS_FOLDER
 
-CLAIM_DELAY_S = 0.05
-CLAIM_STEP_S = 0.12
-"""The process that ranks first for a job without an owner claims it first, the next so much later:
-by then it has seen the first one's claim."""
-CLAIM_RANKS = 4
-CLAIM_SPREAD_S = 0.4
-"""Processes of lower ranks claim at a random time after the last of these."""
 RECLAIM_S = 1.0
 FORMER_OWNER_S = 8.0
 """A write that got no answer may take effect so much later."""
@@ -152,12 +145,7 @@
 
     def _claim_delay_s(self, job_id: str) -> float:
         """How long this process leaves a job to those that rank before it."""
-        ranked = rank_processes(self._subject(job_id), self._living())
-        rank = ranked.index(self._name) if self._name in ranked else CLAIM_RANKS
-        if rank < CLAIM_RANKS:
-            return CLAIM_DELAY_S + CLAIM_STEP_S * rank
-        last = CLAIM_DELAY_S + CLAIM_STEP_S * CLAIM_RANKS
-        return last + random.uniform(0.0, CLAIM_SPREAD_S)
+        return turn_delay_s(self._subject(job_id), self._living(), self._name)
 
     def _subject(self, job_id: str) -> str:
         """What processes are ranked for: the model, whose next jobs go to the same process."""
--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -19,6 +19,7 @@
     min_version: int = 0
     item_s: float = 0.0
     """How long an item is likely to hold a place at a sampler; 0 if that is not known."""
+    tenant: str = ""
 
 
 def decode_open_job(value: bytes) -> OpenJob:
--- a/src/crankseam/jobs/errors.py
+++ b/src/crankseam/jobs/errors.py
@@ -35,5 +35,9 @@
     """The job may have been accepted; the store did not say."""
 
 
+class JobIdTaken(CrankseamError):
+    """A job of another tenant was accepted under this id."""
+
+
 class JobTooLarge(CrankseamError):
     """The job does not fit the store."""
--- a/src/crankseam/jobs/model.py
+++ b/src/crankseam/jobs/model.py
@@ -47,6 +47,8 @@
         step: global step of the trainer; None for a job that is no step.
         min_version: oldest weight version that may make its tokens.
         desired: whole groups that the trainer waits for; 0 if it waits for all.
+        tenant: name of the tenant that submitted it; empty where callers need no key.
+        priority: 0 goes first; the tenant's, else the route's, when it was submitted.
     """
 
     id: str
@@ -57,6 +59,8 @@
     model: str = ""
     min_version: int = 0
     desired: int = 0
+    tenant: str = ""
+    priority: int = 5
 
 
 class ItemResult(msgspec.Struct, frozen=True):
--- a/src/crankseam/jobs/placement.py
+++ b/src/crankseam/jobs/placement.py
@@ -15,11 +15,11 @@
 
 import msgspec
 
+from crankseam.coordination.ranking import rank_processes
 from crankseam.errors import KeyValueError, KeyValueUnavailable
-from crankseam.jobs.errors import AcceptanceUnknown
+from crankseam.jobs.errors import AcceptanceUnknown, JobIdTaken
 from crankseam.jobs.item_run import RouteFinder
 from crankseam.jobs.model import JobDefinition
-from crankseam.jobs.ranking import rank_processes
 
 log = logging.getLogger(__name__)
 
@@ -37,6 +37,8 @@
     NOT_ACCEPTED = "not_accepted"
     """It was not accepted there and never will be; nothing ran."""
     UNKNOWN = "unknown"
+    ID_TAKEN = "id_taken"
+    """See JobIdTaken."""
 
 
 class Submission(msgspec.Struct, frozen=True):
@@ -104,6 +106,7 @@
         ======
 
         AcceptanceUnknown : nothing can be promised.
+        JobIdTaken : another tenant's job has this id.
         KeyValueUnavailable : it was not accepted and never will be; nothing ran.
         """
         outcome = Outcome.NOT_ACCEPTED
@@ -112,6 +115,8 @@
             outcome = await self._hand_over(chosen, job, deadline)
         if outcome is Outcome.ACCEPTED:
             return
+        if outcome is Outcome.ID_TAKEN:
+            raise JobIdTaken(job.id)
         try:
             await self._jobs.submit(job, deadline)
         except KeyValueUnavailable as error:
@@ -138,7 +143,7 @@
             outcome = Outcome.NOT_ACCEPTED
         except (KeyValueError, msgspec.DecodeError):
             outcome = Outcome.UNKNOWN
-        if outcome is not Outcome.ACCEPTED:
+        if outcome in (Outcome.NOT_ACCEPTED, Outcome.UNKNOWN):
             self._avoid_until[chosen] = time.monotonic() + AVOID_S
         log.info(
             "job_handed_over",
@@ -156,6 +161,8 @@
             return Outcome.NOT_ACCEPTED
         try:
             await self._jobs.submit(submission.job, time.monotonic() + submission.wait_s)
+        except JobIdTaken:
+            return Outcome.ID_TAKEN
         except KeyValueUnavailable:
             return Outcome.NOT_ACCEPTED
         except (KeyValueError, AcceptanceUnknown):
--- a/src/crankseam/jobs/repository.py
+++ b/src/crankseam/jobs/repository.py
@@ -3,14 +3,16 @@
 Keys, below one root:
 
 - `job/ID/part/NNN`: the submitted job, cut to the store's value size; written before the head
-- `job/ID/head`: number of parts; its existence is the acceptance
+- `job/ID/head`: number of parts, and the tenant; its existence is the acceptance
 - `job/ID/result/NNNNNN`: a chunk of results; created only if absent, never changed. A writer knows
   all earlier chunks, so positions are agreed by whoever creates the next number
 - `job/ID/progress`: texts of items that run, now and then; an older one does no harm
 - `job/ID/end`: exists once the job was ended
-- `state/open/ID`: the job's model and number of items; exists while it is accepted and not ended
+- `state/open/ID`: the job's model, tenant and number of items; exists while it is accepted and not
+  ended
 - `state/owner/ID`: the process that runs it, under that process's lease
-- `state/ended/ID`: exists from a job's end until everything else of it was removed
+- `state/ended/ID`: the job's tenant; exists from a job's end until everything else of it was
+  removed
 """
 
 from __future__ import annotations
@@ -31,7 +33,7 @@
     read_prefix,
 )
 from crankseam.jobs.demand import OpenJob
-from crankseam.jobs.errors import ResultsConflict
+from crankseam.jobs.errors import JobIdTaken, ResultsConflict
 from crankseam.jobs.model import ItemResult, JobDefinition, PartialText
 
 ROOT = "crankseam/"
@@ -48,6 +50,7 @@
 
     parts: int
     accepted_by: str
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -98,6 +101,9 @@
         Args:
             lease: lease under which this process owns it; 0 leaves it without an owner.
             item_s: see OpenJob.
+
+        Raises:
+            JobIdTaken: another tenant's job has this id.
         """
         encoded = msgspec.msgpack.encode(job)
         parts = [encoded[at : at + PART_BYTES] for at in range(0, len(encoded), PART_BYTES)]
@@ -105,15 +111,20 @@
         puts = [Put(prefix + _part_name(number), part) for number, part in enumerate(parts)]
         for put in puts[1:]:
             await self._store.commit(Transaction(puts=[put]))
-        head = msgspec.msgpack.encode(JobHead(len(parts), self.process))
-        opened = msgspec.msgpack.encode(OpenJob(job.model, len(job.items), job.min_version, item_s))
+        head = msgspec.msgpack.encode(JobHead(len(parts), self.process, job.tenant))
+        opened = msgspec.msgpack.encode(
+            OpenJob(job.model, len(job.items), job.min_version, item_s, job.tenant)
+        )
         final = [puts[0], Put(prefix + "head", head), Put(OPEN_PREFIX + job.id, opened)]
         if lease:
             final.append(Put(OWNER_PREFIX + job.id, self.process.encode(), lease))
         conditions = [Condition(prefix + "head", ABSENT)]
         try:
             await self._store.commit(Transaction(conditions, final))
-        except TransactionConflict:
+        except TransactionConflict as conflict:
+            found = conflict.found.get(prefix + "head")
+            if found is not None and _decode_head(found.value).tenant != job.tenant:
+                raise JobIdTaken(job.id) from None
             return False
         return True
 
@@ -124,7 +135,7 @@
         values = {entry.key.removeprefix(prefix): entry.value for entry in entries}
         if "head" not in values:
             return None
-        count = msgspec.msgpack.decode(values["head"], type=JobHead).parts
+        count = _decode_head(values["head"]).parts
         encoded = b"".join(values[_part_name(number)] for number in range(count))
         listed = [name for name in sorted(values) if name.startswith("result/")]
         return StoredJob(
@@ -180,11 +191,12 @@
         value = msgspec.msgpack.encode(kept)
         await self._store.commit(Transaction(puts=[Put(_job_prefix(job_id) + "progress", value)]))
 
-    async def end(self, job_id: str) -> None:
-        """End an accepted job; repeating it changes nothing."""
+    async def end(self, job_id: str, tenant: str = "") -> None:
+        """End an accepted job of a tenant; repeating it changes nothing."""
+        ended = Put(ENDED_PREFIX + job_id, tenant.encode())
         await self._store.commit(
             Transaction(
-                puts=[Put(_job_prefix(job_id) + "end", b""), Put(ENDED_PREFIX + job_id, b"")],
+                puts=[Put(_job_prefix(job_id) + "end", b""), ended],
                 removals=[OPEN_PREFIX + job_id, OWNER_PREFIX + job_id],
             )
         )
@@ -204,7 +216,12 @@
 
     async def exists(self, job_id: str) -> bool:
         """Whether a job of this id was accepted."""
-        return await self._store.get(_job_prefix(job_id) + "head") is not None
+        return await self.tenant_of(job_id) is not None
+
+    async def tenant_of(self, job_id: str) -> str | None:
+        """The tenant of an accepted job; None if there is no such job."""
+        head = await self._store.get(_job_prefix(job_id) + "head")
+        return _decode_head(head.value).tenant if head is not None else None
 
     async def claim(self, job_id: str, lease: int) -> bool:
         """Become the owner of an open job without one, or with an earlier life of this process.
@@ -240,6 +257,10 @@
     return _decode_results(entry.value)
 
 
+def _decode_head(value: bytes) -> JobHead:
+    return msgspec.msgpack.decode(value, type=JobHead)
+
+
 def _decode_results(value: bytes) -> list[ItemResult]:
     return msgspec.msgpack.decode(value, type=list[ItemResult])
 
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -204,7 +204,8 @@
         return MadeTexts(finished, partial)
 
     async def _result_of(self, index: int, item: ItemDefinition) -> ItemResult:
-        rank = (self._started_at // SAME_TIME_SECONDS, -float(item.length_hint), float(index))
+        begun = self._started_at // SAME_TIME_SECONDS
+        rank = (float(self.job.priority), begun, -float(item.length_hint), float(index))
         is_long = item.length_hint > self._long_hint
         longest_queue_s = self._maker.longest_queue_s(self.job)
         limit = self._started_at + longest_queue_s + GIVE_UP_MARGIN_SECONDS - time.monotonic()
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -23,6 +23,7 @@
 from crankseam.jobs.errors import AcceptanceUnknown, JobUnknown
 from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.item_run import RouteFinder
+from crankseam.jobs.job_tenants import JobTenants
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.pace_sharing import PACE_PREFIX, PaceSharing
 from crankseam.jobs.peer_reads import OwnerClient
@@ -31,6 +32,7 @@
 from crankseam.jobs.runner import JobRunner
 from crankseam.jobs.running import RunningJobs
 from crankseam.serving.supervisor import Supervisor
+from crankseam.serving.tenants import NO_TENANT
 
 log = logging.getLogger(__name__)
 
@@ -82,6 +84,7 @@
         )
         self.state = PrefixFollower(watched or store, STATE_PREFIX, self._state_changed, watch_wait)
         self.claims.follow(self.state)
+        self.tenants = JobTenants(self._repository, self.running, self.state)
         self.lease.on_new.append(self.claims.lease_replaced)
         self.lease.on_recovered.append(self.state.restart)
 
@@ -148,6 +151,7 @@
 
         Raises:
             AcceptanceUnknown: the store did not say, or items ran; nothing can be promised.
+            JobIdTaken: another tenant's job has this id.
             KeyValueUnavailable: the job was not accepted and never will be; nothing ran.
         """
         acceptance = asyncio.create_task(self._accept(job, deadline))
@@ -169,6 +173,7 @@
             "job_accepted",
             extra={
                 "job": job.id,
+                "tenant": job.tenant,
                 "step": job.step,
                 "items": len(job.items),
                 "min_version": job.min_version,
@@ -208,8 +213,8 @@
         if runner is not None:
             runner.accepted.set()
 
-    async def end(self, job_id: str) -> None:
-        """End a job.
+    async def end(self, job_id: str, tenant: str = NO_TENANT) -> None:
+        """End a job of a tenant.
 
         Raises:
             JobUnknown: there is no such job.
@@ -219,7 +224,7 @@
         known = self.running.was_owned(job_id) or self._reader.knows(job_id)
         if not known and not await self._repository.exists(job_id):
             raise JobUnknown(job_id)
-        await self._repository.end(job_id)
+        await self._repository.end(job_id, tenant)
         log.info("job_ended", extra={"job": job_id})
         self.running.end(job_id)
 
--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 from typing import Protocol
 
+from crankseam.coordination.duty import Duty
 from crankseam.orders.assignment import assign, loads_at_once
-from crankseam.orders.holder import OrderHolder
 from crankseam.orders.messages import (
     OrderFenced,
     OrderRefused,
@@ -95,7 +95,7 @@
         self,
         registry: BackEndRegistry,
         control: SamplerControl,
-        holder: OrderHolder,
+        holder: Duty,
         process: str,
         running_requests: Callable[[str], RunningRequests],
         paces: SamplerPaces | None = None,
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -83,6 +83,7 @@
                 "request": request.id,
                 "route": route.name,
                 "service": service,
+                "tenant": request.tenant,
                 "status": answer.status if answer is not None else None,
                 "attempts": sorted(progress.tried),
                 "reasons": progress.reasons,
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -66,11 +66,11 @@
     # --- requests
     "request_answered": LogEvent(
         "A back end's answer goes to the caller.",
-        ("request", "route", "service", "status", "attempts", "reasons", "seconds"),
+        ("request", "route", "service", "tenant", "status", "attempts", "reasons", "seconds"),
     ),
     "request_given_up": LogEvent(
         "No back end answered; `reasons` has one line an attempt.",
-        ("request", "route", "service", "status", "attempts", "reasons", "seconds"),
+        ("request", "route", "service", "tenant", "status", "attempts", "reasons", "seconds"),
     ),
     "request_hedged": LogEvent("A second attempt, as the first is slow.", ("request", "slow")),
     "request_refused": LogEvent(
@@ -80,7 +80,7 @@
     # --- jobs
     "job_accepted": LogEvent(
         "A job lasts from now on; `again`: it did before; `owned`: it runs here, not elsewhere.",
-        ("job", "step", "items", "min_version", "again", "owned"),
+        ("job", "tenant", "step", "items", "min_version", "again", "owned"),
     ),
     "job_run_ahead": LogEvent(
         "Its acceptance takes long: it runs already, and nothing is listed.", ("job",)
@@ -165,8 +165,10 @@
     ),
     # --- orders
     "version_named": LogEvent("A trainer named a version.", ("model", "version")),
-    "orders_won": LogEvent("This process may give orders after `pause`.", ("fence", "pause")),
-    "orders_not_won": LogEvent("Trying for the orders failed.", ("error",)),
+    "duty_won": LogEvent(
+        "This process holds a duty and acts after `pause` seconds.", ("duty", "fence", "pause")
+    ),
+    "duty_not_won": LogEvent("Trying for a duty failed.", ("duty", "error")),
     "version_ordered": LogEvent(
         "A sampler was ordered to load.", ("back_end", "model", "version", "fence", "sequence")
     ),
--- a/src/crankseam/serving/messages.py
+++ b/src/crankseam/serving/messages.py
@@ -20,6 +20,7 @@
         target: path and query as they stood in the request.
         headers: all but those of the connection and those that the adapter sets anew.
         deadline: monotonic time until which the caller waits.
+        tenant: name of the tenant on whose behalf it runs; empty where there is none.
     """
 
     id: str
@@ -31,6 +32,7 @@
     body: bytes
     received_at: float
     deadline: float
+    tenant: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -6,6 +6,8 @@
 import random
 from dataclasses import dataclass, field
 
+from crankseam.serving.tenants import TenantDirectory
+
 
 class RequestKind(enum.Enum):
     """What the operator lets the system do with a route's requests."""
@@ -46,6 +48,8 @@
     """All events of one result must be made by one weight version."""
     max_queue: float = 60.0
     """How long after its job was submitted an item may be given up."""
+    is_public: bool = False
+    """Whether callers need no API key, where others do."""
 
     def leads_to(self, service: str) -> bool:
         """Whether a part of the route's requests goes to a service."""
@@ -79,6 +83,8 @@
     routes: tuple[Route, ...] = ()
     services: dict[str, ServiceDefinition] = field(default_factory=dict)
     limits: CallerLimits = CallerLimits()
+    tenants: TenantDirectory | None = None
+    """None where callers need no API key."""
 
     def match(self, host: str, path: str) -> Route | None:
         """The host's route with the longest prefix that begins the path."""
--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -38,6 +38,10 @@
     """Two holders may not give orders to one sampler within this time."""
     job_status_seconds: float = 120.0
     """How long a job can be read after it was submitted."""
+    strict_revocation: bool = False
+    """Whether a process that can't confirm that an API key still stands refuses its requests."""
+    revocation_milliseconds: float = 5000.0
+    """The longest age of such a confirmation."""
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
--- a/tests/coordination/test_duty.py
+++ b/tests/coordination/test_duty.py
@@ -3,9 +3,9 @@
 
 import pytest
 
+from crankseam.coordination.duty import Duty
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.process_lease import ProcessLease
-from crankseam.orders.holder import OrderHolder
 from crankseam_standins.memory_store import MemoryStore
 from tests.support.waiting import eventually
 
@@ -16,7 +16,7 @@
     def __init__(self, store, name):
         self.lease = ProcessLease(store)
         self.state = PrefixFollower(store, "state/", lambda key, entry: None)
-        self.holder = OrderHolder(store, self.state, self.lease, name, PAUSE)
+        self.holder = Duty(store, self.state, self.lease, name, "orders", PAUSE)
 
     async def __aenter__(self):
         self.tasks = [asyncio.create_task(self.lease.run()), asyncio.create_task(self.state.run())]
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -3,7 +3,7 @@
 
 from crankseam.coordination.interface import Put, Transaction
 from crankseam.coordination.presence import PROCESS_FOLDER
-from crankseam.jobs.ranking import rank_processes
+from crankseam.coordination.ranking import rank_processes
 from crankseam.jobs.repository import STATE_PREFIX
 from tests.jobs.factories import make_job
 from tests.jobs.test_service import all_results, cluster
--- a/tests/jobs/test_placement.py
+++ b/tests/jobs/test_placement.py
@@ -4,13 +4,13 @@
 import msgspec
 import pytest
 
+from crankseam.coordination.ranking import rank_processes
 from crankseam.errors import KeyValueOutcomeUnknown, KeyValueUnavailable
 from crankseam.jobs.errors import AcceptanceUnknown
 from crankseam.jobs.placement import (
     JobPlacement,
     Submission,
 )
-from crankseam.jobs.ranking import rank_processes
 from tests.jobs.factories import make_job, make_route
 
 NAMES = [f"p{number}" for number in range(9)]
