Usage reports: each window settled once in the store and reported unchanged, whoever repeats it

Two ways of gathering were weighed: each process sends its counts as a window ends (13.6 messages a second over 68 processes, and a kill takes up to a window of its counts), or tells the holder what it counted moments after it did (at most one message a request, 7 a second; a kill takes 0.2 s). The second was built: told counts are cumulative, so order and repetition change nothing; a process keeps them until the holder says that the window is settled and tells them again to the next holder; the holder saves its ledger each 0.7 s by compare-and-swap bound to the duty's key, so the loss of all processes at once takes little. A window is settled 0.35 of the allowed time after its end and only then sent. Windows follow the steady clock: a time of day that jumps and returns moves none. Found by a test that failed in 4 of 6 runs: the first ledger began at the window of its first reading, so what was counted just before was lost without a word; it begins at the first window not yet due now, and what comes too late is logged also after the report.

--- a/src/crankseam/coordination/peer_http.py
+++ b/src/crankseam/coordination/peer_http.py
@@ -18,6 +18,8 @@
 """Results of a job that the asked process runs."""
 JOBS_PATH = "/jobs"
 """A job for the asked process to run."""
+USAGE_PATH = "/usage-counts"
+"""What the asking process counted, for the holder of the usage duty."""
 NOT_SERVED = 404
 CONNECT_SECONDS = 0.4
 LONGEST_CALL_BYTES = 4 * 1024 * 1024
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -5,6 +5,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
@@ -42,6 +43,8 @@
     turned_away: int = 0
     last_failure: Answer | None = None
     reasons: list[str] = field(default_factory=list)
+    began_at: float | None = None
+    """Steady time at which it was sent to the first back end that may have run it."""
 
 
 class Forwarder:
@@ -49,9 +52,18 @@
 
     Args:
         zone: where this process runs; back ends there are preferred between equals.
+        on_begun: called once for each request that may have begun to run, with its tenant and the
+            steady time at which it did.
     """
 
-    def __init__(self, registry: BackEndRegistry, client: BackEndClient, zone: str) -> None:
+    def __init__(
+        self,
+        registry: BackEndRegistry,
+        client: BackEndClient,
+        zone: str,
+        on_begun: Callable[[str, float], None] | None = None,
+    ) -> None:
+        self._on_begun = on_begun
         self._registry = registry
         self._client = client
         self._zone = zone
@@ -75,6 +87,9 @@
             answer = None
             by_route = request.received_at + route.timeout <= request.deadline
             progress.reasons.append("route's timeout" if by_route else "caller's deadline")
+        finally:
+            if progress.began_at is not None and self._on_begun is not None:
+                self._on_begun(request.tenant, progress.began_at)
         if answer is None:
             answer = progress.last_failure
         log.info(
@@ -181,11 +196,13 @@
         progress.tried.add(back_end.record.id)
         progress.may_have_run += 1
         back_end.in_flight += 1
+        sent_at, ran = time.monotonic(), True
         try:
             answer = await self._client.send(
                 back_end, request, end, route.kind is not RequestKind.REPEATABLE
             )
         except AttemptNotRun as refusal:
+            ran = False
             progress.may_have_run -= 1
             progress.turned_away += 1
             progress.reasons.append(f"{back_end.record.id}: {refusal.reason}")
@@ -199,6 +216,9 @@
             return None
         finally:
             back_end.in_flight -= 1
+            if ran:
+                began_at = progress.began_at if progress.began_at is not None else sent_at
+                progress.began_at = min(sent_at, began_at)
         if answer.status >= SERVER_ERROR and route.kind is RequestKind.REPEATABLE:
             assert isinstance(answer, Answer)
             progress.reasons.append(f"{back_end.record.id}: status {answer.status}")
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -165,6 +165,34 @@
     ),
     # --- orders
     "version_named": LogEvent("A trainer named a version.", ("model", "version")),
+    "clock_jumped": LogEvent(
+        "The machine's time of day jumped; windows go on by the steady clock.", ("by_s",)
+    ),
+    "clock_believed": LogEvent(
+        "The time of day stayed where it jumped to; it is taken as true from now on.", ("by_s",)
+    ),
+    "usage_not_told": LogEvent(
+        "The holder of the usage duty did not take this process's counts; tried again.",
+        ("peer", "error"),
+    ),
+    "usage_lost": LogEvent(
+        "Requests that no report counts, and why.", ("window", "requests", "cause")
+    ),
+    "usage_not_saved": LogEvent("Keeping the usage ledger failed; tried again.", ("error",)),
+    "usage_ledger_malformed": LogEvent(
+        "The kept ledger can't be read; it begins anew.", ("error",)
+    ),
+    "usage_settled": LogEvent(
+        "Counts of `windows` more windows are final: all before `next_window` are.",
+        ("next_window", "windows", "fence"),
+    ),
+    "usage_reported": LogEvent(
+        "A window's report was taken, so long after the window ended.",
+        ("window", "tenants", "requests", "fence", "age_s"),
+    ),
+    "usage_not_reported": LogEvent(
+        "A report was not taken, and is repeated unchanged.", ("window", "fence", "reason")
+    ),
     "duty_won": LogEvent(
         "This process holds a duty and acts after `pause` seconds.", ("duty", "fence", "pause")
     ),
--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -42,6 +42,20 @@
     """Whether a process that can't confirm that an API key still stands refuses its requests."""
     revocation_milliseconds: float = 5000.0
     """The longest age of such a confirmation."""
+    usage_window_seconds: float = 5.0
+    """Length of the windows in which usage is counted."""
+    usage_late_seconds: float = 10.0
+    """A window's report is due so long after the window ended."""
+
+
+class DutyCalls(msgspec.Struct, frozen=True):
+    """The platform's interface for what one process at a time does; empty where it has none."""
+
+    address: str = ""
+    usage: bool = False
+    """Whether usage is to be reported there."""
+    fences_checked: bool = True
+    """Whether the platform refuses calls of an earlier holder."""
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
@@ -56,6 +70,7 @@
     data_folder: str = ""
     listen: Listeners = Listeners()
     bounds: Bounds = Bounds()
+    duties: DutyCalls = DutyCalls()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
@@ -99,6 +114,8 @@
         value = getattr(settings.listen, field)
         if value:
             addresses["listen", field] = value
+    if settings.duties.address:
+        addresses["duties", "address"] = settings.duties.address
     for path, value in addresses.items():
         if not ADDRESS.fullmatch(value):
             line = line_of_toml_field(text, path)
--- /dev/null
+++ b/src/crankseam/usage/counter.py
@@ -0,0 +1,128 @@
+"""What this process counted, and how it reaches the holder of the duty.
+
+A process tells the holder what it counted moments after it did, not when a window ends: so a
+process that is killed takes little with it. It keeps what it told until the holder says that the
+window is settled, and tells all of it again to the next holder: so a holder that is killed takes
+nothing with it.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import secrets
+from collections.abc import Awaitable, Callable
+
+import msgspec
+
+from crankseam.backoff import Backoff
+from crankseam.errors import KeyValueError
+from crankseam.usage.clock import TrueClock
+from crankseam.usage.messages import TenantCounts, UsageCounts, UsageReceipt
+
+log = logging.getLogger(__name__)
+
+GATHER_S = 0.2
+"""Requests of so long are told at once."""
+ANSWER_S = 1.0
+RETRY_BASE_S = 0.2
+RETRY_CAP_S = 1.0
+MOST_WINDOWS = 24
+"""Windows that are kept while nobody settles them: at 5 s each, two minutes."""
+
+HolderAsker = Callable[[str, bytes, float], Awaitable[bytes]]
+"""Sends bytes to a process by its name and returns its answer within so many seconds.
+
+Raises KeyValueError if there is no such process, or no answer.
+"""
+
+
+class UsageCounter:
+    """Counts requests by window and tenant, and tells the holder.
+
+    Parameters
+    ==========
+
+    process : this process's name.
+    find_holder : the process that is known to hold the duty.
+    ask : sends bytes to another process.
+    """
+
+    def __init__(
+        self,
+        clock: TrueClock,
+        process: str,
+        find_holder: Callable[[], str | None],
+        ask: HolderAsker,
+    ) -> None:
+        self._clock = clock
+        self._find_holder = find_holder
+        self._ask = ask
+        self._source = f"{process}/{secrets.token_hex(4)}"
+        self._windows: dict[int, TenantCounts] = {}
+        self._changed = asyncio.Event()
+        self._told_to: str | None = None
+
+    def count(self, tenant: str, began_at: float) -> None:
+        """A request of a tenant began to run at this time of the steady clock."""
+        if not tenant:
+            return
+        counts = self._windows.setdefault(self._clock.window_of(began_at), {})
+        counts[tenant] = counts.get(tenant, 0) + 1
+        self._changed.set()
+        while len(self._windows) > MOST_WINDOWS:
+            self._drop(min(self._windows))
+
+    def _drop(self, window: int) -> None:
+        requests = sum(self._windows.pop(window).values())
+        cause = "nobody settled its window"
+        log.error("usage_lost", extra={"window": window, "requests": requests, "cause": cause})
+
+    def told(self) -> UsageCounts:
+        """All that is kept."""
+        return UsageCounts(self._source, self._windows)
+
+    async def run(self) -> None:
+        """Tell the holder what is new until cancelled."""
+        backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S)
+        while True:
+            await self._wait_for_news()
+            holder = self._find_holder()
+            if holder is not None and await self._tell(holder):
+                backoff.reset()
+                self._told_to = holder
+                await asyncio.sleep(GATHER_S)
+            else:
+                self._changed.set()
+                await asyncio.sleep(GATHER_S + backoff.next_delay())
+
+    async def _wait_for_news(self) -> None:
+        """Return when something was counted, or when another process holds the duty."""
+        while not self._changed.is_set():
+            if self._windows and self._find_holder() not in (self._told_to, None):
+                return
+            try:
+                async with asyncio.timeout(GATHER_S):
+                    await self._changed.wait()
+            except TimeoutError:
+                continue
+
+    async def _tell(self, holder: str) -> bool:
+        """Whether the holder took all that was counted before."""
+        self._changed.clear()
+        if not self._windows:
+            return True
+        try:
+            raw = await self._ask(holder, msgspec.msgpack.encode(self.told()), ANSWER_S)
+            receipt = msgspec.msgpack.decode(raw, type=UsageReceipt)
+        except (KeyValueError, msgspec.DecodeError) as error:
+            reason = type(error).__name__
+            log.warning("usage_not_told", extra={"peer": holder, "error": reason})
+            return False
+        if receipt.is_taken:
+            self._forget_before(receipt.next_window)
+        return receipt.is_taken
+
+    def _forget_before(self, window: int) -> None:
+        for settled in [one for one in self._windows if one < window]:
+            del self._windows[settled]
--- /dev/null
+++ b/src/crankseam/usage/messages.py
@@ -0,0 +1,57 @@
+"""What processes tell each other of usage, and who takes the reports. Free of any wire."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+TenantCounts = dict[str, int]
+"""Requests that began, by tenant."""
+
+
+class UsageCounts(msgspec.Struct, frozen=True):
+    """All that a process counted in windows that are not settled, as far as it knows.
+
+    Counts only grow, so it does no harm to tell the same ones twice or in another order.
+
+    Attributes
+    ==========
+
+    source : one life of one process.
+    windows : counts by window.
+    """
+
+    source: str
+    windows: dict[int, TenantCounts]
+
+
+class UsageReceipt(msgspec.Struct, frozen=True):
+    """What the asked process made of them.
+
+    Attributes
+    ==========
+
+    is_taken : whether it holds the duty and took them.
+    next_window : all windows before this one are settled.
+    """
+
+    is_taken: bool = False
+    next_window: int = 0
+
+
+class UsageSink(Protocol):
+    """Takes the reports."""
+
+    async def report_usage(
+        self, window: int, counts: TenantCounts, holder: str, fence: int
+    ) -> None:
+        """Report one window; the same report may be repeated.
+
+        Raises
+        ======
+
+        DutyFenced : a newer holder has acted.
+        DutyRefused : nothing was done.
+        DutyUnanswered : it may have been taken, or may be seconds later.
+        """
--- /dev/null
+++ b/src/crankseam/usage/reporter.py
@@ -0,0 +1,268 @@
+"""Settles and reports windows: what the holder of the usage duty does."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+
+import msgspec
+
+from crankseam.backoff import Backoff
+from crankseam.coordination.duty import Duty, DutyFenced, DutyRefused, DutyUnanswered
+from crankseam.coordination.interface import (
+    ABSENT,
+    Condition,
+    CoordinationStore,
+    Entry,
+    Put,
+    Transaction,
+    TransactionConflict,
+)
+from crankseam.errors import KeyValueError
+from crankseam.usage.clock import TrueClock
+from crankseam.usage.counter import MOST_WINDOWS
+from crankseam.usage.ledger import UsageLedger, decode_ledger, encode_ledger
+from crankseam.usage.messages import UsageCounts, UsageReceipt, UsageSink
+
+log = logging.getLogger(__name__)
+
+LEDGER_KEY = "crankseam/usage/ledger"
+"""Not below the prefix of states, which every process follows: only a new holder reads it."""
+LOOK_S = 0.2
+SETTLED_AFTER_SHARE = 0.35
+"""A window is settled after this share of the time in which its report is due: counts of requests
+that take long to answer come late, and the rest is left for a holder that goes and calls that
+fail."""
+TOLD_AGAIN_S = 1.0
+"""A new holder settles nothing for so long: the others tell it what the last one knew."""
+SAVED_EACH_S = 0.7
+"""What was counted is saved so often, so that the loss of all processes at once takes little."""
+SAVED_BYTES_PER_S = 30_000
+"""A large ledger is saved less often: 30 of 19,000 bytes a second each of 420 processes has."""
+RETRY_BASE_S = 0.1
+RETRY_CAP_S = 0.8
+
+
+class UsageReporter:
+    """Runs in every process; only the holder of the duty settles and reports.
+
+    Parameters
+    ==========
+
+    duty : the right to report.
+    late_s : a report is due so long after its window ended.
+    """
+
+    def __init__(
+        self,
+        store: CoordinationStore,
+        duty: Duty,
+        clock: TrueClock,
+        sink: UsageSink,
+        process: str,
+        late_s: float,
+    ) -> None:
+        self._store = store
+        self._duty = duty
+        self._clock = clock
+        self._sink = sink
+        self._process = process
+        self._late_s = late_s
+        self._fence: int | None = None
+        """The token under which the ledger was read; None while it has to be read."""
+        self._settles_under = 0
+        """The token under which others have had time to tell their counts again."""
+        self._ledger: UsageLedger | None = None
+        self._revision = ABSENT
+        self._early = UsageLedger(0)
+        """What was told before the ledger was read."""
+        self._unsaved = False
+        self._save_at = float("-inf")
+        self._settle_from = float("-inf")
+        self._call_at = float("-inf")
+        self._backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S)
+        self.reported = 0
+        self.reported_late = 0
+        self.lost = 0
+
+    # --- what other processes tell
+
+    async def serve(self, raw: bytes) -> bytes:
+        """Answer another process's counts, or this one's."""
+        return msgspec.msgpack.encode(self._take(msgspec.msgpack.decode(raw, type=UsageCounts)))
+
+    def _take(self, told: UsageCounts) -> UsageReceipt:
+        if not self._duty.is_holder():
+            return UsageReceipt()
+        if self._ledger is None:
+            self._early.take(told)
+            return UsageReceipt(True)
+        late = self._ledger.take(told)
+        if late:
+            self._lose(late, "told after its window was settled")
+        self._unsaved = True
+        return UsageReceipt(True, self._ledger.next_window)
+
+    def _lose(self, requests: int, cause: str) -> None:
+        self.lost += requests
+        log.error("usage_lost", extra={"window": None, "requests": requests, "cause": cause})
+
+    # --- the holder's work
+
+    async def run(self) -> None:
+        """Settle and report until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            await self._look()
+
+    async def _look(self) -> None:
+        fence = await self._duty.take_turn()
+        if fence is None:
+            if not self._duty.is_holder():
+                self._forget()
+            return
+        try:
+            if self._fence != fence:
+                await self._read(fence)
+            await self._settle_or_save(fence)
+        except TransactionConflict:
+            # Another holder wrote, or a write of this one took effect without an answer.
+            self._fence = None
+            return
+        except KeyValueError as error:
+            log.warning("usage_not_saved", extra={"error": type(error).__name__})
+            self._fence = None
+            return
+        await self._report_settled()
+
+    def _forget(self) -> None:
+        """Another process holds the duty, and whoever counted tells it anew."""
+        self._fence = None
+        self._ledger = None
+        self._early = UsageLedger(0)
+
+    async def _read(self, fence: int) -> None:
+        entry = await self._store.get(LEDGER_KEY)
+        ledger = self._decode(entry)
+        if self._ledger is not None:
+            ledger.merge_open(self._ledger)
+        ledger.merge_open(self._early)
+        self._early = UsageLedger(0)
+        self._ledger, self._revision = ledger, entry.revision if entry is not None else ABSENT
+        self._unsaved = True
+        if fence != self._settles_under:
+            self._settles_under = fence
+            self._settle_from = time.monotonic() + TOLD_AGAIN_S
+        self._fence = fence
+
+    def _decode(self, entry: Entry | None) -> UsageLedger:
+        current = self._clock.current_window()
+        first = UsageLedger(self._first_unsettled(current))
+        if entry is None:
+            return first
+        try:
+            ledger = decode_ledger(entry.value)
+            lost = ledger.skip_to(current - MOST_WINDOWS)
+            if lost:
+                self._lose(lost, "nobody held the duty for too long")
+            return ledger
+        except msgspec.DecodeError as error:
+            log.error("usage_ledger_malformed", extra={"error": type(error).__name__})
+            return first
+
+    async def _settle_or_save(self, fence: int) -> None:
+        """Write the ledger if a window is to be settled, or if counts waited for long enough."""
+        ledger = self._ledger
+        assert ledger is not None
+        due = self._windows_due(ledger)
+        if not due and not (self._unsaved and time.monotonic() >= self._save_at):
+            return
+        written = decode_ledger(encode_ledger(ledger))
+        for _ in range(due):
+            written.settle_next()
+        value = encode_ledger(written)
+        conditions = [
+            Condition(self._duty.holder_key, fence),
+            Condition(LEDGER_KEY, self._revision),
+        ]
+        self._unsaved = False
+        self._revision = await self._store.commit(Transaction(conditions, [Put(LEDGER_KEY, value)]))
+        # What was told meanwhile counts for windows that are still open.
+        late = written.merge_open(ledger)
+        if late:
+            self._lose(late, "told while its window was settled")
+        self._ledger = written
+        self._save_at = time.monotonic() + max(SAVED_EACH_S, len(value) / SAVED_BYTES_PER_S)
+        if due:
+            log.info(
+                "usage_settled",
+                extra={"next_window": written.next_window, "windows": due, "fence": fence},
+            )
+
+    def _first_unsettled(self, window: int) -> int:
+        """Others may have counted before the very first holder was there."""
+        after_s = SETTLED_AFTER_SHARE * self._late_s
+        while self._clock.since_end_of(window - 1) < after_s:
+            window -= 1
+        return min([window, *self._early.open])
+
+    def _windows_due(self, ledger: UsageLedger) -> int:
+        due = 0
+        if time.monotonic() < self._settle_from:
+            return due
+        after_s = SETTLED_AFTER_SHARE * self._late_s
+        while self._clock.since_end_of(ledger.next_window + due) >= after_s:
+            due += 1
+        return due
+
+    async def _report_settled(self) -> None:
+        ledger = self._ledger
+        assert ledger is not None
+        for window in sorted(ledger.settled):
+            if time.monotonic() < self._call_at or not await self._report(ledger, window):
+                return
+
+    async def _report(self, ledger: UsageLedger, window: int) -> bool:
+        """Report one window; whether it was taken."""
+        # Directly before the call: the duty may have been lost meanwhile.
+        fence = self._duty.fence()
+        if fence is None or fence != self._fence:
+            return False
+        counts = ledger.settled[window]
+        try:
+            await self._sink.report_usage(window, counts, self._process, fence)
+        except DutyFenced:
+            self._duty.refuse(fence)
+            self._log_failed(window, fence, "a newer holder acts")
+            return False
+        except (DutyRefused, DutyUnanswered) as error:
+            self._call_at = time.monotonic() + self._backoff.next_delay()
+            self._log_failed(window, fence, f"{type(error).__name__}: {error}")
+            return False
+        self._backoff.reset()
+        ledger.mark_reported(window)
+        self._unsaved = True
+        self._count_reported(window, counts, fence)
+        return True
+
+    @staticmethod
+    def _log_failed(window: int, fence: int, reason: str) -> None:
+        log.warning(
+            "usage_not_reported", extra={"window": window, "fence": fence, "reason": reason}
+        )
+
+    def _count_reported(self, window: int, counts: dict[str, int], fence: int) -> None:
+        age_s = self._clock.since_end_of(window)
+        self.reported += 1
+        self.reported_late += age_s > self._late_s
+        log.info(
+            "usage_reported",
+            extra={
+                "window": window,
+                "tenants": len(counts),
+                "requests": sum(counts.values()),
+                "fence": fence,
+                "age_s": round(age_s, 3),
+            },
+        )
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -12,7 +12,7 @@
 from yarl import URL
 
 from crankseam.coordination.interface import Put, Transaction
-from crankseam.serving.settings import Bounds, Listeners, ProcessSettings
+from crankseam.serving.settings import Bounds, DutyCalls, Listeners, ProcessSettings
 from crankseam_standins.memory_store import MemoryStore
 from crankseam_standins.ports import free_port
 from tests.support.waiting import eventually
@@ -52,7 +52,8 @@
 class Deployment:
     """The parts of one test; `async with` starts and stops them."""
 
-    def __init__(self, samplers=2):
+    def __init__(self, samplers=2, duty_address=""):
+        self.duty_address = duty_address
         self.store = MemoryStore()
         self.samplers = [SamplerServer(f"i-{number}") for number in range(samplers)]
         self.fronts = []
@@ -77,6 +78,7 @@
             await front.supervisor.stop()
             front.ingress.stop_listening()
             await front.samplers.close()
+            await front.duty_caller.close()
             front.peer_listener.close()
             await front.peer_client.close()
             await front.platform_store.close()
@@ -102,7 +104,10 @@
                 f"127.0.0.1:{readiness}",
                 peers=f"127.0.0.1:{free_port()}",
             ),
-            bounds=Bounds(order_lease_milliseconds=200.0),
+            bounds=Bounds(
+                order_lease_milliseconds=200.0, usage_window_seconds=0.5, usage_late_seconds=3.0
+            ),
+            duties=DutyCalls(address=self.duty_address, usage=bool(self.duty_address)),
         )
         front = Front(settings)
         self.fronts.append(front)
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -18,6 +18,7 @@
     ROOT / "src/crankseam/jobs",
     ROOT / "src/crankseam/orders",
     ROOT / "src/crankseam/coordination",
+    ROOT / "src/crankseam/usage",
     ROOT / "platform/crankseam_platform",
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
