--- /dev/null
+++ b/src/crankseam/scaling/__init__.py
@@ -0,0 +1,1 @@
+"""Samplers on demand: how many, in which zone, and of which kind."""
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -30,6 +30,8 @@
     leaving: bool = False
     versions: dict[str, int] = field(default_factory=dict)
     """Weight version by model."""
+    is_spot: bool = False
+    """Whether it may be taken away at short notice."""
 
 
 @dataclass(slots=True, eq=False)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -193,6 +193,10 @@
     "usage_not_reported": LogEvent(
         "A report was not taken, and is repeated unchanged.", ("window", "fence", "reason")
     ),
+    "samplers_ordered": LogEvent(
+        "A zone is to hold so many samplers of a kind; `outcome` is what became of the order.",
+        ("service", "zone", "kind", "count", "reason", "fence", "outcome"),
+    ),
     "duty_won": LogEvent(
         "This process holds a duty and acts after `pause` seconds.", ("duty", "fence", "pause")
     ),
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -6,6 +6,7 @@
 import random
 from dataclasses import dataclass, field
 
+from crankseam.scaling.model import ScalingBounds
 from crankseam.serving.tenants import TenantDirectory
 
 
@@ -63,6 +64,8 @@
     name: str
     max_connections: int = 0
     slots: int = 0
+    scaling: ScalingBounds | None = None
+    """None where samplers are not ordered by the system."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -19,6 +19,7 @@
     ROOT / "src/crankseam/orders",
     ROOT / "src/crankseam/coordination",
     ROOT / "src/crankseam/usage",
+    ROOT / "src/crankseam/scaling",
     ROOT / "platform/crankseam_platform",
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
