--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -29,7 +29,8 @@
     report = await soak(4.0, 3, tmp_path)
     assert report["violations"] == []
     never = {"refused_never_runs", "position_fixed"}
-    assert all(count for promise, count in report["checks"].items() if promise not in never)
+    unchecked = {promise for promise, count in report["checks"].items() if not count}
+    assert unchecked <= never
 
 
 def test_the_auditor_notices_each_kind_of_wrong_result():
