Results are listed seldom until the step may end by them, then at once

Ruled out: waiting places (none for long items), the hand-over (10 ms), the owner's answer. Two ways: each whole group after 0.08 s (standing), or what is finished each 2 s until as many groups are whole as the trainer waits for, then at once and each further group as before; from the due time on each group soon, since it is read for less from then on. Also: a process that stops as planned tells the holder its last counts of usage.

--- a/src/crankseam/jobs/item_maker.py
+++ b/src/crankseam/jobs/item_maker.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import math
+
 import msgspec
 
 from crankseam.jobs.dispatcher import Dispatcher
@@ -44,6 +46,11 @@
         route = self._find_route(job)
         return route.max_queue if route is not None else DEFAULT_QUEUE_S
 
+    def due_s(self, job: JobDefinition) -> float:
+        """How long after it was submitted a job's results are due."""
+        route = self._find_route(job)
+        return route.due if route is not None else math.inf
+
     async def make(
         self,
         job: JobDefinition,
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -3,28 +3,21 @@
 from __future__ import annotations
 
 import asyncio
-import contextlib
 import logging
 import statistics
 import time
-from collections import Counter
 
 from crankseam.backoff import Backoff
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.carried import MadeTexts
 from crankseam.jobs.errors import ResultsConflict
 from crankseam.jobs.item_maker import ItemMaker
+from crankseam.jobs.listing_moments import ListingMoments
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.repository import JobRepository
 
 log = logging.getLogger(__name__)
 
-GROUP_LISTED_S = 0.08
-"""Results that complete a group are listed after this: whole groups are what a step waits for."""
-PART_LISTED_S = 2.0
-"""Results made within this time are listed by one write, whole groups or not."""
-SINGLE_LISTED_S = 0.25
-"""The same for jobs whose items have no groups: each counts by itself."""
 SAME_TIME_SECONDS = 2.0
 """Jobs that began within this time share the samplers item by item."""
 UNCERTAIN_S = 0.4
@@ -74,15 +67,9 @@
         self._long_hint = LONG_FACTOR * statistics.median(hints) if hints else float("inf")
         self._saved_events = 0
         self._pending: list[ItemResult] = []
-        self._something_pending = asyncio.Event()
-        self._group_complete = asyncio.Event()
         self._group_of = {item.id: item.group for item in job.items}
-        self._unfinished_of = Counter(
-            item.group for item in job.items if item.id not in self._listed_ids
-        )
-        """Items without a result by group."""
-        has_groups = any(item.group for item in job.items)
-        self._longest_unlisted_s = PART_LISTED_S if has_groups else SINGLE_LISTED_S
+        due_at = self._started_at + maker.due_s(job)
+        self._moments = ListingMoments(job, self._listed_ids, due_at)
         self._listed_more = asyncio.Event()
         self._listing_since: float | None = None
         """Monotonic time of the first call of a listing that may have taken effect unseen."""
@@ -187,11 +174,7 @@
         """Take an item's result, to be listed soon."""
         self._finished_ids.add(result.id)
         self._pending.append(result)
-        self._something_pending.set()
-        group = self._group_of[result.id]
-        self._unfinished_of[group] -= 1
-        if self._unfinished_of[group] == 0:
-            self._group_complete.set()
+        self._moments.finished(self._group_of[result.id])
 
     def made_texts(self) -> MadeTexts:
         """Everything that was made so far, listed or not."""
@@ -218,14 +201,8 @@
 
     async def _list_pending(self) -> None:
         """List what is finished as the next chunk, whoever else lists meanwhile."""
-        await self._something_pending.wait()
         await self.accepted.wait()
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(self._longest_unlisted_s):
-                await self._group_complete.wait()
-                await asyncio.sleep(GROUP_LISTED_S)
-        self._something_pending.clear()
-        self._group_complete.clear()
+        await self._moments.wait()
         await self._list_batch()
 
     async def _list_batch(self) -> None:
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 import random
 from dataclasses import dataclass, field
 
@@ -49,6 +50,8 @@
     """All events of one result must be made by one weight version."""
     max_queue: float = 60.0
     """How long after its job was submitted an item may be given up."""
+    due: float = math.inf
+    """How long after its job was submitted results are due."""
     is_public: bool = False
     """Whether callers need no API key, where others do."""
 
--- a/src/crankseam/usage/counter.py
+++ b/src/crankseam/usage/counter.py
@@ -96,6 +96,12 @@
                 self._changed.set()
                 await asyncio.sleep(GATHER_S + backoff.next_delay())
 
+    async def flush(self) -> None:
+        """Before a planned end: tell the holder what it was not told yet."""
+        holder = self._find_holder()
+        if self._changed.is_set() and holder is not None:
+            await self._tell(holder)
+
     async def _wait_for_news(self) -> None:
         """Return when something was counted, or when another process holds the duty."""
         while not self._changed.is_set():
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -160,3 +160,13 @@
     platform.highest = old
     await eventually(lambda: platform.total() == 1, "reported")
     assert all(fence > old for _, fence, _ in platform.calls if fence != old)
+
+
+async def test_a_planned_end_tells_what_was_counted_last(three):
+    _, platform, processes = three
+    holder, others = split(processes)
+    others[0].tasks[3].cancel()
+    others[0].count("t")
+    await others[0].counter.flush()
+    others[0].kill()
+    await eventually(lambda: platform.total() == 1)
