--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -8,8 +8,9 @@
 from dataclasses import dataclass
 
 from crankseam.jobs.move_wishes import MoveWish, MoveWishes
-from crankseam.jobs.places import PlacementRound, PlaceRequest
+from crankseam.jobs.places import MemoryFinder, PlacementRound, PlaceRequest
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.engine_memory import NOTHING, RunSize
 from crankseam.serving.paces import SLOW_FACTOR, SamplerPaces
 
 LOOK_AGAIN_SECONDS = 0.05
@@ -27,6 +28,8 @@
     events: int
     only_version: int = 0
     """See PlaceRequest."""
+    item: str = ""
+    size: RunSize = NOTHING
 
 
 class Dispatcher:
@@ -35,18 +38,24 @@
     Args:
         zone: where this process runs; samplers there are preferred between equals.
         paces: how fast samplers are; its own without one.
+        memory_of: the memory of a service's samplers, if that is known.
     """
 
     def __init__(
-        self, registry: BackEndRegistry, zone: str, paces: SamplerPaces | None = None
+        self,
+        registry: BackEndRegistry,
+        zone: str,
+        paces: SamplerPaces | None = None,
+        memory_of: MemoryFinder = lambda service: None,
     ) -> None:
+        self._memory_of = memory_of
         self._registry = registry
         self._zone = zone
         self._waiting: list[PlaceRequest] = []
         self._numbers = itertools.count()
         self._wake = asyncio.Event()
         self.paces = paces if paces is not None else SamplerPaces()
-        self._wishes = MoveWishes(registry, self.paces)
+        self._wishes = MoveWishes(registry, self.paces, memory_of)
         registry.on_change.append(self._wake.set)
 
     async def run(self) -> None:
@@ -70,6 +79,8 @@
         is_long: bool = False,
         slots_share: float = 1.0,
         only_version: int = 0,
+        item: str = "",
+        size: RunSize = NOTHING,
     ) -> BackEnd:
         """Wait for a place; the caller must release it. See PlaceRequest."""
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
@@ -85,6 +96,8 @@
             place,
             slots_share,
             only_version,
+            item,
+            size,
         )
         heapq.heappush(self._waiting, request)
         self._wake.set()
@@ -92,17 +105,18 @@
             return await place
         except asyncio.CancelledError:
             if place.done() and not place.cancelled():
-                self.release(place.result())
+                self.release(place.result(), item)
             raise
 
-    def release(self, back_end: BackEnd) -> None:
-        """Give a place back."""
+    def release(self, back_end: BackEnd, item: str = "") -> None:
+        """Give an item's place back."""
         back_end.in_flight -= 1
+        back_end.runs.pop(item, None)
         self._wake.set()
 
     def _give_places(self) -> None:
         self._wishes.give()
-        round_ = PlacementRound(self._registry, self.paces, self._zone)
+        round_ = PlacementRound(self._registry, self.paces, self._zone, self._memory_of)
         left: list[PlaceRequest] = []
         while self._waiting:
             request = heapq.heappop(self._waiting)
@@ -113,6 +127,8 @@
                 left.append(request)
                 continue
             back_end.in_flight += 1
+            if request.item:
+                back_end.runs[request.item] = request.size
             request.place.set_result(back_end)
         self._waiting = left
 
@@ -154,8 +170,10 @@
                 need.only_version,
                 faster_than_s,
                 need.events,
+                need.item,
+                need.size,
             )
-        wish.faster_than_s, wish.events = faster_than_s, need.events
+        wish.faster_than_s, wish.events, wish.size = faster_than_s, need.events, need.size
         self._wishes.put(wish)
         return wish
 
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -22,6 +22,7 @@
 from crankseam.jobs.move_wishes import MoveWish
 from crankseam.jobs.routed_place import routed_place
 from crankseam.serving.back_ends import BackEnd
+from crankseam.serving.engine_memory import RunSize
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
 from crankseam.serving.routes import Route, TrafficSplitter
 
@@ -127,7 +128,7 @@
         finally:
             unused = self._end_wish()
             if unused is not None:
-                self._dispatcher.release(unused)
+                self._dispatcher.release(unused, self.item.id)
 
     async def _run(self) -> ItemResult:
         reserved: BackEnd | None = None
@@ -144,6 +145,8 @@
                 self._slots_share(),
                 self._only_version,
                 reserved,
+                self.item.id,
+                self._size(),
             ) as (route, back_end):
                 placed_at = time.monotonic()
                 result = await self._attempt(back_end, route)
@@ -173,6 +176,9 @@
         self.kept.clear()
         return 0
 
+    def _size(self) -> RunSize:
+        return RunSize(self.item.prompt_tokens, len(self.kept.events), self.item.tokens)
+
     def _slots_share(self) -> float:
         """What part of a sampler's slots this run may fill."""
         return 1.0 if self.kept.events or self._is_long() else FRESH_SLOTS_SHARE
@@ -267,6 +273,7 @@
                     self._dispatcher.paces.seen(back_end, now - last_at)
                 last_at = now
                 self._take(event)
+                back_end.runs[self.item.id] = self._size()
                 if now >= steady_at:
                     self._move_if_slow(back_end)
 
@@ -293,6 +300,8 @@
                 self._is_long(),
                 len(self.kept.events),
                 self._text_version(),
+                self.item.id,
+                self._size(),
             )
             self._wish = self._dispatcher.wish_to_move(self._wish, back_end, need)
         if self._wish is not None and self._wish.granted is not None:
--- a/src/crankseam/jobs/model.py
+++ b/src/crankseam/jobs/model.py
@@ -25,6 +25,7 @@
         path: where it is posted at a sampler.
         headers: passed to the sampler as they are.
         tokens: prompt tokens plus the most that may be made.
+        prompt_tokens: tokens of the prompt alone; 0 if that is not told.
         group: items of one group share their prompt; empty without groups.
     """
 
@@ -36,6 +37,7 @@
     group: str = ""
     length_hint: int = 0
     """Expected tokens of the output; 0 if not told, and often far off."""
+    prompt_tokens: int = 0
     scoring: ScoringRequest | None = None
     """Asked once the text is whole; the item is completed only with its score."""
 
--- a/src/crankseam/jobs/move_wishes.py
+++ b/src/crankseam/jobs/move_wishes.py
@@ -10,8 +10,9 @@
 import time
 from dataclasses import dataclass
 
-from crankseam.jobs.places import may_serve, slots_of
+from crankseam.jobs.places import MemoryFinder, may_serve, slots_of
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.engine_memory import NOTHING, RunSize
 from crankseam.serving.paces import SamplerPaces
 
 FASTEST_KEPT_S = 0.2
@@ -36,13 +37,21 @@
     only_version: int
     faster_than_s: float
     events: int
+    item: str = ""
+    size: RunSize = NOTHING
     granted: BackEnd | None = None
 
 
 class MoveWishes:
     """The wishes of one process's runs."""
 
-    def __init__(self, registry: BackEndRegistry, paces: SamplerPaces) -> None:
+    def __init__(
+        self,
+        registry: BackEndRegistry,
+        paces: SamplerPaces,
+        memory_of: MemoryFinder = lambda service: None,
+    ) -> None:
+        self._memory_of = memory_of
         self._registry = registry
         self._paces = paces
         self._open: dict[int, MoveWish] = {}
@@ -78,6 +87,8 @@
         newest = max(one.version_of(wish.model) for one in free)
         chosen = min(free, key=lambda one: newest - one.version_of(wish.model))
         chosen.in_flight += 1
+        if wish.item:
+            chosen.runs[wish.item] = wish.size
         wish.granted = chosen
         del self._open[id(wish)]
 
@@ -87,6 +98,9 @@
             return False
         if back_end.expected_load(now) >= slots_of(back_end):
             return False
+        memory = self._memory_of(wish.service) if wish.item else None
+        if memory is not None and not back_end.has_memory_for(wish.size, memory, now):
+            return False
         return may_serve(back_end, wish.model, wish.min_version, wish.only_version)
 
     def _fastest_first(self, service: str) -> list[tuple[float, BackEnd]]:
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -7,9 +7,11 @@
 import itertools
 import random
 import time
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.engine_memory import NOTHING, EngineMemory, RunSize
 from crankseam.serving.paces import SamplerPaces
 
 DEFAULT_SLOTS = 8
@@ -46,10 +48,18 @@
     """The part of a back end's slots that requests of this kind may fill."""
     only_version: int = field(compare=False, default=0)
     """The one version that may go on with the item's text; 0 if any may."""
+    item: str = field(compare=False, default="")
+    """Under which its run is counted at the back end; empty if it needs no memory there."""
+    size: RunSize = field(compare=False, default=NOTHING)
 
 
-Cost = tuple[bool, int, int, float, bool, float]
-"""Turned slow, class of pace, weight versions behind, load, in another zone, a lot."""
+Cost = tuple[bool, bool, int, int, float, bool, float]
+"""Turned slow, lacks memory, class of pace, weight versions behind, load, in another zone, a
+lot."""
+MemoryFinder = Callable[[str], EngineMemory | None]
+"""The memory of a service's samplers; None if that is not known."""
+SIZE_STEP_EVENTS = 16
+"""Runs whose sizes differ by less than this are placed alike."""
 
 
 class _Queue:
@@ -66,7 +76,11 @@
         behind: dict[str, int],
         slow: set[str],
         slots_share: float,
+        size: RunSize,
+        memory: EngineMemory | None,
     ) -> None:
+        self._size = size
+        self._memory = memory
         self._slots_share = slots_share
         self._classes = classes
         self._behind = behind
@@ -86,6 +100,7 @@
         key = back_end.record.id
         return (
             key in self._slow,
+            self._lacks_memory(back_end),
             self._classes.get(key, 0),
             self._behind.get(key, 0),
             back_end.expected_load(self._now),
@@ -93,6 +108,11 @@
             self._lots[key],
         )
 
+    def _lacks_memory(self, back_end: BackEnd) -> bool:
+        if self._memory is None:
+            return False
+        return not back_end.has_memory_for(self._size, self._memory, self._now)
+
     def _most(self, back_end: BackEnd) -> float:
         return max(1.0, self._slots_share * slots_of(back_end))
 
@@ -128,12 +148,19 @@
     zone : samplers there are preferred between equals.
     """
 
-    def __init__(self, registry: BackEndRegistry, paces: SamplerPaces, zone: str) -> None:
+    def __init__(
+        self,
+        registry: BackEndRegistry,
+        paces: SamplerPaces,
+        zone: str,
+        memory_of: MemoryFinder = lambda service: None,
+    ) -> None:
+        self._memory_of = memory_of
         self._registry = registry
         self._paces = paces
         self._zone = zone
         self._now = time.monotonic()
-        self._queues: dict[tuple[str, str, int, bool, float, int], _Queue] = {}
+        self._queues: dict[tuple[str, str, int, bool, float, int, int], _Queue] = {}
         self._slow: dict[str, set[str]] = {}
 
     def take(self, request: PlaceRequest) -> BackEnd | None:
@@ -145,6 +172,7 @@
             request.is_long,
             request.slots_share,
             request.only_version,
+            request.size.events // SIZE_STEP_EVENTS,
         )
         queue = self._queues.get(need)
         if queue is None:
@@ -164,7 +192,15 @@
         classes = self._paces.classes(candidates) if request.is_long else {}
         behind = _versions_behind(candidates, request.model) if request.is_long else {}
         slow = self._slow[request.service]
-        queue = _Queue(candidates, classes, behind, slow, request.slots_share)
+        queue = _Queue(
+            candidates,
+            classes,
+            behind,
+            slow,
+            request.slots_share,
+            request.size,
+            self._memory_of(request.service) if request.item else None,
+        )
         queue.fill(self._zone, self._now)
         return queue
 
--- a/src/crankseam/jobs/routed_place.py
+++ b/src/crankseam/jobs/routed_place.py
@@ -8,6 +8,7 @@
 
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.serving.back_ends import BackEnd
+from crankseam.serving.engine_memory import NOTHING, RunSize
 from crankseam.serving.routes import Route, TrafficSplitter
 
 NO_ROUTE_PAUSE_S = 0.2
@@ -29,6 +30,8 @@
     slots_share: float = 1.0,
     only_version: Callable[[], int] = lambda: 0,
     reserved: BackEnd | None = None,
+    item: str = "",
+    size: RunSize = NOTHING,
 ) -> AsyncGenerator[tuple[Route, BackEnd], None]:
     """Wait for a place and give it back afterwards. See PlaceRequest.
 
@@ -45,7 +48,7 @@
         and route.leads_to(back_end.record.service)
         and dispatcher.is_current(back_end)
     ):
-        dispatcher.release(back_end)
+        dispatcher.release(back_end, item)
         back_end = None
     while route is None or back_end is None:
         route = find_route()
@@ -57,16 +60,25 @@
         try:
             async with asyncio.timeout(VERSION_LOOK_S if version else None):
                 back_end = await dispatcher.acquire(
-                    rank, service, model, min_version, avoided, is_long, slots_share, version
+                    rank,
+                    service,
+                    model,
+                    min_version,
+                    avoided,
+                    is_long,
+                    slots_share,
+                    version,
+                    item,
+                    size,
                 )
         except TimeoutError:
             continue
         # The configuration may have changed during the wait.
         route = find_route()
         if route is None or not route.leads_to(service):
-            dispatcher.release(back_end)
+            dispatcher.release(back_end, item)
             back_end = None
     try:
         yield route, back_end
     finally:
-        dispatcher.release(back_end)
+        dispatcher.release(back_end, item)
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -8,6 +8,8 @@
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
+from crankseam.serving.engine_memory import OTHERS_TOKENS, EngineMemory, RunSize
+
 log = logging.getLogger(__name__)
 
 LOAD_REPORT_SECONDS = 1.5
@@ -48,6 +50,8 @@
     avoid_until: float = float("-inf")
     observed_versions: dict[str, int] = field(default_factory=dict)
     """Newest weight version seen in answers, by model."""
+    runs: dict[str, RunSize] = field(default_factory=dict)
+    """Runs of this process that hold or were granted a place there, by item."""
 
     def expected_load(self, now: float) -> float:
         """Requests there: this process's own and, while the report is fresh, those of others."""
@@ -55,6 +59,15 @@
             return float(self.in_flight)
         return self.in_flight + max(0, self.reported_load - self.reported_own)
 
+    def has_memory_for(self, size: RunSize, memory: EngineMemory, now: float) -> bool:
+        """Whether a run fits until its end beside those that are there."""
+        others = max(0.0, self.expected_load(now) - self.in_flight)
+        taken = sum(run.expected_tokens(memory) for run in self.runs.values())
+        if not taken and not others:
+            return True
+        expected = taken + others * OTHERS_TOKENS + size.expected_tokens(memory)
+        return expected <= memory.tokens
+
     def report_load(self, running: int, waiting: int) -> None:
         """Take a load report of the back end itself."""
         self.reported_load = running + waiting
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -8,6 +8,7 @@
 from dataclasses import dataclass, field
 
 from crankseam.scaling.model import ScalingBounds
+from crankseam.serving.engine_memory import EngineMemory
 from crankseam.serving.tenants import TenantDirectory
 
 
@@ -67,6 +68,8 @@
     name: str
     max_connections: int = 0
     slots: int = 0
+    memory: EngineMemory | None = None
+    """None where it is not told."""
     scaling: ScalingBounds | None = None
     """None where samplers are not ordered by the system."""
 
