--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass
 
 from crankseam.jobs.move_wishes import MoveWish, MoveWishes
-from crankseam.jobs.places import MemoryFinder, PlacementRound, PlaceRequest
+from crankseam.jobs.places import MemoryFinder, PlacementRound, PlaceNeed, PlaceRequest
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.engine_memory import NOTHING, RunSize
 from crankseam.serving.paces import SLOW_FACTOR, SamplerPaces
@@ -69,43 +69,18 @@
             self._wake.clear()
             self._give_places()
 
-    async def acquire(
-        self,
-        rank: tuple[float, ...],
-        service: str,
-        model: str,
-        min_version: int,
-        avoided: str = "",
-        is_long: bool = False,
-        slots_share: float = 1.0,
-        only_version: int = 0,
-        item: str = "",
-        size: RunSize = NOTHING,
-    ) -> BackEnd:
-        """Wait for a place; the caller must release it. See PlaceRequest."""
+    async def acquire(self, need: PlaceNeed, service: str, only_version: int = 0) -> BackEnd:
+        """Wait for a place; the caller must release it. See PlaceNeed and PlaceRequest."""
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._numbers)
-        request = PlaceRequest(
-            rank,
-            number,
-            service,
-            model,
-            min_version,
-            avoided,
-            is_long,
-            place,
-            slots_share,
-            only_version,
-            item,
-            size,
-        )
+        request = PlaceRequest(need.rank, number, need, service, only_version, place)
         heapq.heappush(self._waiting, request)
         self._wake.set()
         try:
             return await place
         except asyncio.CancelledError:
             if place.done() and not place.cancelled():
-                self.release(place.result(), item)
+                self.release(place.result(), need.item)
             raise
 
     def release(self, back_end: BackEnd, item: str = "") -> None:
@@ -127,8 +102,8 @@
                 left.append(request)
                 continue
             back_end.in_flight += 1
-            if request.item:
-                back_end.runs[request.item] = request.size
+            if request.need.item:
+                back_end.runs[request.need.item] = request.need.size
             request.place.set_result(back_end)
         self._waiting = left
 
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -20,6 +20,7 @@
     PartialText,
 )
 from crankseam.jobs.move_wishes import MoveWish
+from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_place import routed_place
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.engine_memory import RunSize
@@ -137,16 +138,9 @@
                 self._dispatcher,
                 self._splitter,
                 partial(self._find_route, self.job),
-                self._rank,
-                self.job.model,
-                self.job.min_version,
-                self._avoided,
-                self._is_long(),
-                self._slots_share(),
+                self._need(),
                 self._only_version,
                 reserved,
-                self.item.id,
-                self._size(),
             ) as (route, back_end):
                 placed_at = time.monotonic()
                 result = await self._attempt(back_end, route)
@@ -176,6 +170,18 @@
         self.kept.clear()
         return 0
 
+    def _need(self) -> PlaceNeed:
+        return PlaceNeed(
+            self._rank,
+            self.job.model,
+            self.job.min_version,
+            self._avoided,
+            self._is_long(),
+            self._slots_share(),
+            self.item.id,
+            self._size(),
+        )
+
     def _size(self) -> RunSize:
         return RunSize(self.item.prompt_tokens, len(self.kept.events), self.item.tokens)
 
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -30,27 +30,41 @@
     return version == only_version if only_version else version >= min_version
 
 
+@dataclass(frozen=True, slots=True)
+class PlaceNeed:
+    """What an item needs of a place.
+
+    Attributes
+    ==========
+
+    rank : smaller ones go first.
+    avoided : id of a sampler that the item was just moved away from; empty if none.
+    is_long : the step waits for it: it goes to the fastest samplers first.
+    slots_share : the part of a back end's slots that requests of this kind may fill.
+    item : under which its run is counted at the back end; empty if it needs no memory there.
+    """
+
+    rank: tuple[float, ...]
+    model: str = ""
+    min_version: int = 0
+    avoided: str = ""
+    is_long: bool = False
+    slots_share: float = 1.0
+    item: str = ""
+    size: RunSize = NOTHING
+
+
 @dataclass(order=True, slots=True)
 class PlaceRequest:
     """One item that waits for a place. Smaller ranks go first."""
 
     rank: tuple[float, ...]
     number: int
+    need: PlaceNeed = field(compare=False)
     service: str = field(compare=False)
-    model: str = field(compare=False)
-    min_version: int = field(compare=False)
-    avoided: str = field(compare=False)
-    """Id of a sampler that the item was just moved away from; empty if none."""
-    is_long: bool = field(compare=False)
-    """The step waits for it: it goes to the fastest samplers first."""
-    place: asyncio.Future[BackEnd] = field(compare=False)
-    slots_share: float = field(compare=False, default=1.0)
-    """The part of a back end's slots that requests of this kind may fill."""
-    only_version: int = field(compare=False, default=0)
+    only_version: int = field(compare=False)
     """The one version that may go on with the item's text; 0 if any may."""
-    item: str = field(compare=False, default="")
-    """Under which its run is counted at the back end; empty if it needs no memory there."""
-    size: RunSize = field(compare=False, default=NOTHING)
+    place: asyncio.Future[BackEnd] = field(compare=False)
 
 
 Cost = tuple[bool, bool, int, int, float, bool, float]
@@ -165,21 +179,23 @@
 
     def take(self, request: PlaceRequest) -> BackEnd | None:
         """The sampler for a request; None while there is no room."""
-        need = (
+        need = request.need
+        alike = (
             request.service,
-            request.model,
-            request.min_version,
-            request.is_long,
-            request.slots_share,
+            need.model,
+            need.min_version,
+            need.is_long,
+            need.slots_share,
             request.only_version,
-            request.size.events // SIZE_STEP_EVENTS,
+            need.size.events // SIZE_STEP_EVENTS,
         )
-        queue = self._queues.get(need)
+        queue = self._queues.get(alike)
         if queue is None:
-            queue = self._queues[need] = self._make_queue(request)
-        return queue.best(request.avoided)
+            queue = self._queues[alike] = self._make_queue(request)
+        return queue.best(need.avoided)
 
     def _make_queue(self, request: PlaceRequest) -> _Queue:
+        need = request.need
         service = self._registry.of_service(request.service)
         if request.service not in self._slow:
             self._slow[request.service] = self._paces.slow_ids(service)
@@ -187,19 +203,19 @@
             one
             for one in service
             if one.avoid_until <= self._now
-            and may_serve(one, request.model, request.min_version, request.only_version)
+            and may_serve(one, need.model, need.min_version, request.only_version)
         ]
-        classes = self._paces.classes(candidates) if request.is_long else {}
-        behind = _versions_behind(candidates, request.model) if request.is_long else {}
+        classes = self._paces.classes(candidates) if need.is_long else {}
+        behind = _versions_behind(candidates, need.model) if need.is_long else {}
         slow = self._slow[request.service]
         queue = _Queue(
             candidates,
             classes,
             behind,
             slow,
-            request.slots_share,
-            request.size,
-            self._memory_of(request.service) if request.item else None,
+            need.slots_share,
+            need.size,
+            self._memory_of(request.service) if need.item else None,
         )
         queue.fill(self._zone, self._now)
         return queue
--- a/src/crankseam/jobs/routed_place.py
+++ b/src/crankseam/jobs/routed_place.py
@@ -7,8 +7,8 @@
 from contextlib import asynccontextmanager
 
 from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.back_ends import BackEnd
-from crankseam.serving.engine_memory import NOTHING, RunSize
 from crankseam.serving.routes import Route, TrafficSplitter
 
 NO_ROUTE_PAUSE_S = 0.2
@@ -22,18 +22,11 @@
     dispatcher: Dispatcher,
     splitter: TrafficSplitter,
     find_route: Callable[[], Route | None],
-    rank: tuple[float, ...],
-    model: str = "",
-    min_version: int = 0,
-    avoided: str = "",
-    is_long: bool = False,
-    slots_share: float = 1.0,
+    need: PlaceNeed,
     only_version: Callable[[], int] = lambda: 0,
     reserved: BackEnd | None = None,
-    item: str = "",
-    size: RunSize = NOTHING,
 ) -> AsyncGenerator[tuple[Route, BackEnd], None]:
-    """Wait for a place and give it back afterwards. See PlaceRequest.
+    """Wait for a place and give it back afterwards. See PlaceNeed.
 
     Parameters
     ==========
@@ -48,7 +41,7 @@
         and route.leads_to(back_end.record.service)
         and dispatcher.is_current(back_end)
     ):
-        dispatcher.release(back_end, item)
+        dispatcher.release(back_end, need.item)
         back_end = None
     while route is None or back_end is None:
         route = find_route()
@@ -59,26 +52,15 @@
         version = only_version()
         try:
             async with asyncio.timeout(VERSION_LOOK_S if version else None):
-                back_end = await dispatcher.acquire(
-                    rank,
-                    service,
-                    model,
-                    min_version,
-                    avoided,
-                    is_long,
-                    slots_share,
-                    version,
-                    item,
-                    size,
-                )
+                back_end = await dispatcher.acquire(need, service, version)
         except TimeoutError:
             continue
         # The configuration may have changed during the wait.
         route = find_route()
         if route is None or not route.leads_to(service):
-            dispatcher.release(back_end, item)
+            dispatcher.release(back_end, need.item)
             back_end = None
     try:
         yield route, back_end
     finally:
-        dispatcher.release(back_end, item)
+        dispatcher.release(back_end, need.item)
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -17,6 +17,7 @@
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ScoringFailed
 from crankseam.jobs.model import ItemDefinition, JobDefinition, ScoringRequest
+from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_place import routed_place
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
@@ -96,9 +97,7 @@
                 self._dispatcher,
                 self._splitter,
                 lambda: self._find_route(request),
-                rank,
-                avoided=run.avoided,
-                slots_share=SCORING_SLOTS_SHARE,
+                PlaceNeed(rank, avoided=run.avoided, slots_share=SCORING_SLOTS_SHARE),
             ) as (route, back_end):
                 score = await run.attempt(route, back_end)
             if score is not None:
--- a/tests/jobs/test_dispatcher.py
+++ b/tests/jobs/test_dispatcher.py
@@ -1,7 +1,11 @@
 import asyncio
 
 from crankseam.jobs.dispatcher import Dispatcher, MoveNeed
+from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
+from crankseam.serving.engine_memory import EngineMemory, RunSize
+from crankseam.serving.paces import SamplerPaces
+from tests.jobs.factories import make_registry
 from tests.support.waiting import eventually
 
 
@@ -17,10 +21,11 @@
     fast.in_flight = 5
     giving = asyncio.create_task(dispatcher.run())
     try:
-        assert await dispatcher.acquire((0.0,), "svc", "m", 1, is_long=True) is fast
-        assert await dispatcher.acquire((0.0,), "svc", "m", 1) is slower
+        assert await dispatcher.acquire(PlaceNeed((0.0,), "m", 1, is_long=True), "svc") is fast
+        assert await dispatcher.acquire(PlaceNeed((0.0,), "m", 1), "svc") is slower
         fast.in_flight = 8
-        assert await dispatcher.acquire((0.0,), "svc", "m", 1, is_long=True) is slower, "full"
+        need = PlaceNeed((0.0,), "m", 1, is_long=True)
+        assert await dispatcher.acquire(need, "svc") is slower, "full"
     finally:
         giving.cancel()
 
@@ -72,7 +77,65 @@
     dispatcher = Dispatcher(registry, "z")
     giving = asyncio.create_task(dispatcher.run())
     try:
-        assert await dispatcher.acquire((0.0,), "svc", "m", 1, is_long=True) is newest
-        assert await dispatcher.acquire((0.0,), "svc", "m", 1) is behind
+        assert await dispatcher.acquire(PlaceNeed((0.0,), "m", 1, is_long=True), "svc") is newest
+        assert await dispatcher.acquire(PlaceNeed((0.0,), "m", 1), "svc") is behind
     finally:
         giving.cancel()
+
+
+MEMORY = EngineMemory(10_000, 75)
+
+
+def with_memory(registry, paces=None):
+    return Dispatcher(registry, "z", paces, lambda service: MEMORY)
+
+
+async def test_a_long_run_goes_where_its_memory_fits():
+    registry = make_registry()
+    full, free = registry.of_service("llm")
+    full.runs = {"a": RunSize(250, 50)}
+    full.in_flight, free.in_flight = 1, 2
+    free.runs = {"b": RunSize(250, 0), "c": RunSize(250, 0)}
+    dispatcher = with_memory(registry)
+    running = asyncio.create_task(dispatcher.run())
+    try:
+        size = RunSize(250, 30)
+        found = await dispatcher.acquire(PlaceNeed((0.0,), "m", 1, item="d", size=size), "llm")
+        assert found is free and free.runs["d"] == size
+        dispatcher.release(found, "d")
+        assert "d" not in free.runs
+        need = PlaceNeed((0.0,), "m", 1, item="e", size=RunSize(250, 0))
+        short = await dispatcher.acquire(need, "llm")
+        assert short is full, "the least loaded one where there is memory enough"
+    finally:
+        running.cancel()
+
+
+async def test_where_no_memory_is_free_a_run_still_goes_somewhere():
+    registry = make_registry(count=1)
+    (only,) = registry.of_service("llm")
+    only.runs, only.in_flight = {"a": RunSize(250, 100)}, 1
+    dispatcher = with_memory(registry)
+    running = asyncio.create_task(dispatcher.run())
+    try:
+        need = PlaceNeed((0.0,), "m", 1, item="b", size=RunSize(250, 90))
+        assert await dispatcher.acquire(need, "llm") is only
+    finally:
+        running.cancel()
+
+
+async def test_no_run_moves_to_a_sampler_that_would_put_it_back():
+    registry = make_registry()
+    slow, fast = registry.of_service("llm")
+    paces = SamplerPaces()
+    for _ in range(200):
+        paces.seen(slow, 0.2)
+        paces.seen(fast, 0.05)
+    fast.runs, fast.in_flight = {"a": RunSize(250, 60)}, 1
+    dispatcher = with_memory(registry, paces)
+    need = MoveNeed("m", 1, True, 30, item="b", size=RunSize(250, 30))
+    wish = dispatcher.wish_to_move(None, slow, need)
+    assert wish is not None and wish.granted is None
+    fast.runs.clear()
+    dispatcher.wish_to_move(wish, slow, need)
+    assert wish.granted is fast and fast.runs["b"] == RunSize(250, 30)
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -8,6 +8,7 @@
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.item_run import ItemRun
 from crankseam.jobs.model import PartialText
+from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.messages import AttemptNotRun
 from crankseam.serving.paces import SamplerPaces
 from crankseam.serving.routes import TrafficSplitter
@@ -194,7 +195,7 @@
     running = asyncio.create_task(run.run())
     try:
         await eventually(lambda: len(run.kept.events) > 14)
-        waiting = asyncio.create_task(dispatcher.acquire((9.0,), "llm", "m", 0))
+        waiting = asyncio.create_task(dispatcher.acquire(PlaceNeed((9.0,), "m", 0), "llm"))
         await asyncio.sleep(0)
         dispatcher.release(fast)
         assert await waiting is slow
