A reader that turned to the store watches it shorter: a deaf watch and a silent answerer fit the bound

By reading: a reader whose answerer is silent watched the store for 1.8 s, which a dropped history makes deaf, and then asked a silent process for 1.1 s: 2.9 s. Change: a reader's own watch lasts what the bound leaves beside one question: 0.7 s at 2 s, 1.3 s at 3 s. Price: calls only while an answerer is silent. Test: tests/coordination/test_shared_watch.py, failed before.

--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -49,6 +49,10 @@
 """A relay's question waits so long, of the time for which a feed is fresh: the age of its answer,
 the wait and the next wait must add up to less."""
 ANSWER_SLACK_S = 0.3
+READER_MARGIN_S = 0.2
+"""A reader that turned to the store may be deaf there for the whole of its watch, and ask a silent
+process next: the two, and this for the answers, fit the time in which a change must be in force."""
+SHORTEST_WATCH_S = 0.2
 AVOID_S = 2.0
 """A watcher that did not answer is not asked again for so long, and twice as long each time after
 that. From the second time on, the process that comes next watches in its place."""
@@ -168,6 +172,8 @@
         self._ask = ask
         self._fresh_s = in_force_s * FRESH_SHARE
         self._watch_s = in_force_s * WATCH_SHARE
+        question_s = self._fresh_s + ANSWER_SLACK_S
+        self._reader_watch_s = max(SHORTEST_WATCH_S, in_force_s - question_s - READER_MARGIN_S)
         self._answered_at = answered_at
         self._followers: dict[str, PrefixFollower] = {}
         self._avoid_until: dict[str, float] = {}
@@ -261,7 +267,7 @@
                 raise HistoryCompacted(prefix)
             if answer is not None:
                 return await self._whole(answer)
-        return await self._store.watch(prefix, after_revision, wait)
+        return await self._store.watch(prefix, after_revision, min(wait, self._reader_watch_s))
 
     async def _watch_for_all(self, prefix: str, after_revision: int, wait: float) -> Changes:
         """Watch the store; not so long while others rely on it.
--- a/tests/coordination/test_shared_watch.py
+++ b/tests/coordination/test_shared_watch.py
@@ -325,3 +325,26 @@
         assert reader._is_avoided(peer)
         assert await reader._try(peer, question) is not None
         assert not reader._is_avoided(peer) and peer in reader._watchers()
+
+
+async def test_a_deaf_watch_and_a_silent_answerer_together_hide_no_change_for_too_long():
+    """A reader that turned to the store may be deaf there, and ask a frozen process next."""
+    fleet = Fleet(8, in_force_s=2.0)
+    fleet.silent = {0, 1}
+    waits = []
+
+    class Recorded(Way):
+        async def watch(self, prefix, after_revision, wait):
+            waits.append(wait)
+            return Changes([], after_revision)
+
+    way = Recorded(fleet.store)
+    reader = SharedWatches(way, lambda: fleet.peers, "p07", fleet.ask, 2.0, way.answered_at)
+    asked_at = time.monotonic()
+    await reader.watch("a/", 0, 1.8)
+    asked_s = time.monotonic() - asked_at
+    assert len(waits) == 1
+    assert waits[0] + asked_s < 2.0, "one deaf watch, and then a silent answerer"
+    watcher = SharedWatches(way, lambda: fleet.peers, "p00", fleet.ask, 2.0, way.answered_at)
+    await watcher.watch("a/", 0, 1.8)
+    assert waits[1] > waits[0], "a watcher asks nobody first"
