A refused call goes to another peer at once, and a short lease is tried again soon

Its lease was renewed each 0.45 s whether or not that failed, calls went through peers only after 0.8 s, and a third of the peers were refused too, each costing one renewal: the lease lapsed at 34.2 s, the job was taken over at 35.5 s from texts of 31.6 s, and its long items lost 40 events each. Price: in an outage for all, peers refuse without a call, as before; three of them are asked. Tests: tests/coordination/test_relay.py, test_process_lease.py; two of the three failed before, the third says that an outage for all is still told.

--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -14,6 +14,8 @@
 
 LEASE_SECONDS = 1.8
 RENEW_SECONDS = 0.45
+RETRY_SECONDS = 0.15
+"""A short lease is tried again so soon after a failure: the way to the store may be another one."""
 IDLE_LEASE_SECONDS = 6.0
 """Where nothing but this process's presence hangs on the lease. Nobody waits for its end: who asks
 a process that is gone asks another one next."""
@@ -62,11 +64,16 @@
         """Wait for the next renewal; a short lease that is won meanwhile has its own times."""
         self._short_won.clear()
         try:
-            async with asyncio.timeout(RENEW_SECONDS if self._is_short else IDLE_RENEW_SECONDS):
+            async with asyncio.timeout(self._next_renewal_s()):
                 await self._short_won.wait()
         except TimeoutError:
             return
 
+    def _next_renewal_s(self) -> float:
+        if not self._is_short:
+            return IDLE_RENEW_SECONDS
+        return RETRY_SECONDS if self._failing else RENEW_SECONDS
+
     async def _renew_once(self) -> None:
         try:
             async with self._renewing:
--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -36,13 +36,20 @@
 
 log = logging.getLogger(__name__)
 
-FAILING_AFTER_SECONDS = 0.8
-"""Calls go through peers once this process's own have failed for so long."""
+FAILING_AFTER_SECONDS = 0.5
+"""Calls go through peers once this process's own have failed for so long: a lease of 1.8 s that was
+renewed 0.45 s before leaves 0.6 s for it then."""
+PEERS_TRIED = 3
+"""So many peers are asked for one call while each says that nothing was done: where the store
+refuses a third of the processes, one in 27 calls finds no way."""
 PROBE_SECONDS = 1.0
 """How often the own way is tried meanwhile."""
 PEER_SLACK_SECONDS = 1.5
 PEER_AVOIDED_SECONDS = 3.0
-"""A peer that did not answer is asked no more for so long: it may be gone and still be listed."""
+"""A peer that did not answer, or could do nothing, is asked no more for so long: it may be gone and
+still be listed, or be refused as this process is."""
+NOTHING_DONE = (KeyValueUnavailable.__name__, KeyValueThrottled.__name__)
+"""Failures after which the same call may be made again."""
 
 _ERRORS: dict[str, type[KeyValueError]] = {
     error.__name__: error
@@ -201,7 +208,7 @@
     @staticmethod
     def _may_repeat(call: RelayCall, answer: RelayAnswer) -> bool:
         """Whether a failed call may be made again: a change only if it was not done."""
-        if answer.error in (KeyValueUnavailable.__name__, KeyValueThrottled.__name__):
+        if answer.error in NOTHING_DONE:
             return True
         unknown = answer.error == KeyValueOutcomeUnknown.__name__
         return unknown and call.name not in ("commit", "grant_lease")
@@ -231,24 +238,37 @@
 
     async def _ask_peer(self, call: RelayCall) -> RelayAnswer:
         raw = msgspec.msgpack.encode(call)
-        peer = self._pick_peer()
+        tried: list[str] = []
+        while True:
+            peer = self._pick_peer(tried)
+            tried.append(peer)
+            answer = await self._ask_one(peer, raw, call.wait + PEER_SLACK_SECONDS)
+            if answer.error in NOTHING_DONE:
+                self._avoid(peer)
+                if len(tried) < min(PEERS_TRIED, len(self._peers())):
+                    continue
+            _raise_error(answer)
+            if not self._through_peers:
+                self._through_peers = True
+                log.warning("store_through_peers", extra={"peer": peer})
+            return answer
+
+    async def _ask_one(self, peer: str, raw: bytes, longest_s: float) -> RelayAnswer:
         try:
-            encoded = await self._call_peer(peer, raw, call.wait + PEER_SLACK_SECONDS)
-            answer = msgspec.msgpack.decode(encoded, type=RelayAnswer)
+            encoded = await self._call_peer(peer, raw, longest_s)
+            return msgspec.msgpack.decode(encoded, type=RelayAnswer)
         except msgspec.DecodeError as error:
             raise KeyValueOutcomeUnknown("malformed answer of a peer") from error
         except KeyValueError:
-            self._avoid_until[peer] = time.monotonic() + PEER_AVOIDED_SECONDS
+            self._avoid(peer)
             raise
-        _raise_error(answer)
-        if not self._through_peers:
-            self._through_peers = True
-            log.warning("store_through_peers", extra={"peer": peer})
-        return answer
 
-    def _pick_peer(self) -> str:
-        """Any peer; one that did not answer lately only if there is no other."""
-        peers = self._peers()
+    def _avoid(self, peer: str) -> None:
+        self._avoid_until[peer] = time.monotonic() + PEER_AVOIDED_SECONDS
+
+    def _pick_peer(self, tried: list[str]) -> str:
+        """Any peer that was not tried; one that was of no use lately only if there is no other."""
+        peers = [one for one in self._peers() if one not in tried]
         if not peers:
             raise KeyValueUnavailable("no peer is known")
         now = time.monotonic()
--- a/tests/coordination/test_process_lease.py
+++ b/tests/coordination/test_process_lease.py
@@ -2,6 +2,7 @@
 
 import pytest
 
+from crankseam.coordination import process_lease
 from crankseam.coordination.interface import Put, Transaction
 from crankseam.coordination.process_lease import (
     IDLE_LEASE_SECONDS,
@@ -123,3 +124,19 @@
             await asyncio.sleep(0.2)
             assert len(renewals) == before
         task.cancel()
+
+
+async def test_a_short_lease_outlasts_a_way_that_fails_for_a_while(monkeypatch):
+    """What the store refuses to this process goes through a peer soon: it must be tried by then."""
+    monkeypatch.setattr(process_lease, "RENEW_SECONDS", 1000.0)
+    monkeypatch.setattr(process_lease, "RETRY_SECONDS", 0.02)
+    store = MemoryStore()
+    lease = ProcessLease(store)
+    lease.relied_on.append(lambda: True)
+    await lease.ensure()
+    store.faults.down = True
+    task = asyncio.create_task(lease.run())
+    await eventually(lambda: lease._failing)
+    store.faults.down = False
+    await eventually(lambda: not lease._failing, "tried again long before the next renewal")
+    task.cancel()
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -135,3 +135,43 @@
     own.error = KeyValueUnavailable("refused")
     await relayed.get("a/1")
     assert relayed.answered_at == answered_at, "a peer's word"
+
+
+async def test_a_peer_that_is_refused_too_is_passed_over_at_once(monkeypatch):
+    monkeypatch.setattr(relay, "FAILING_AFTER_SECONDS", 0.0)
+    monkeypatch.setattr(relay, "PROBE_SECONDS", 1000.0)
+    monkeypatch.setattr(relay.random, "choice", lambda found: sorted(found)[0])
+    store = MemoryStore()
+    ways = {name: OwnWay(store) for name in "abcd"}
+    stores = {}
+
+    async def call_peer(address, raw, longest):
+        return await stores[address].serve(raw)
+
+    for name, way in ways.items():
+        others = [other for other in "abcd" if other != name]
+        stores[name] = RelayedStore(way, lambda others=others: others, call_peer)
+    for name in "abc":
+        ways[name].error = KeyValueUnavailable("refused")
+    await stores["a"].commit(Transaction(puts=[Put("k", b"1")]))
+    assert store.entries["k"].value == b"1"
+    assert (ways["b"].calls, ways["c"].calls, ways["d"].calls) == (1, 1, 1)
+    await stores["a"].commit(Transaction(puts=[Put("k", b"2")]))
+    assert (ways["b"].calls, ways["c"].calls) == (1, 1), "not asked again for a while"
+
+
+async def test_where_all_are_refused_the_failure_is_told(monkeypatch):
+    monkeypatch.setattr(relay, "FAILING_AFTER_SECONDS", 0.0)
+    store = MemoryStore()
+    ways = {name: OwnWay(store) for name in "ab"}
+    stores = {}
+
+    async def call_peer(address, raw, longest):
+        return await stores[address].serve(raw)
+
+    for name, way in ways.items():
+        way.error = KeyValueUnavailable("refused")
+        others = [other for other in "ab" if other != name]
+        stores[name] = RelayedStore(way, lambda others=others: others, call_peer)
+    with pytest.raises(KeyValueUnavailable):
+        await stores["a"].commit(Transaction(puts=[Put("k", b"1")]))
