--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -14,12 +14,19 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, replace
-from functools import singledispatch
 from typing import Protocol
 
 import msgspec
 
 from crankseam.coordination.feed import PrefixFeed
+from crankseam.coordination.feed_messages import (
+    REFUSED_COMPACTED,
+    REFUSED_UNAVAILABLE,
+    FeedAnswer,
+    FeedQuestion,
+    as_answer,
+    refusal_of,
+)
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import (
     Changes,
@@ -57,42 +64,6 @@
 """A watcher that did not answer is not asked again for so long, and twice as long each time after
 that. From the second time on, the process that comes next watches in its place."""
 MOST_AVOID_S = 16.0
-LARGE_VALUE_BYTES = 16 * 1024
-"""Larger values are read from the store: a watcher's link is narrow."""
-
-
-class FeedQuestion(msgspec.Struct, frozen=True):
-    """What is new below a prefix? With a negative revision: all that is there."""
-
-    prefix: str
-    after_revision: int
-    wait_s: float
-
-
-class FeedAnswer(msgspec.Struct, frozen=True):
-    """Changes up to ``revision``; ``large`` names keys whose values are to be read elsewhere."""
-
-    refusal: str = ""
-    entries: list[Entry] = []
-    removals: list[Removal] = []
-    large: list[str] = []
-    revision: int = 0
-    age_s: float = 0.0
-
-
-REFUSED_COMPACTED = "compacted"
-REFUSED_UNAVAILABLE = "unavailable"
-
-
-@singledispatch
-def refusal_of(error: KeyValueError) -> str:
-    """How a failure to answer is told to a reader."""
-    return REFUSED_UNAVAILABLE
-
-
-@refusal_of.register
-def _(error: HistoryCompacted) -> str:
-    return REFUSED_COMPACTED
 
 
 def watcher_count(processes: int) -> int:
@@ -339,20 +310,6 @@
         if question.after_revision < 0:
             follower.feed.check_fresh()
             page = Changes(list(follower.entries.values()), follower.feed.revision)
-            return _as_answer(page, follower.feed.age_s())
+            return as_answer(page, follower.feed.age_s())
         changes = await follower.feed.wait_after(question.after_revision, question.wait_s)
-        return _as_answer(changes, follower.feed.age_s())
-
-
-def _as_answer(seen: Changes, age_s: float) -> FeedAnswer:
-    entries: list[Entry] = []
-    removals: list[Removal] = []
-    large: list[str] = []
-    for change in seen.changes:
-        if isinstance(change, Removal):
-            removals.append(change)
-        elif len(change.value) > LARGE_VALUE_BYTES:
-            large.append(change.key)
-        else:
-            entries.append(change)
-    return FeedAnswer("", entries, removals, large, seen.revision, age_s)
+        return as_answer(changes, follower.feed.age_s())
--- a/tests/coordination/test_shared_watch.py
+++ b/tests/coordination/test_shared_watch.py
@@ -6,7 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crankseam.coordination import shared_watch
+from crankseam.coordination import feed_messages, shared_watch
 from crankseam.coordination.feed import PrefixFeed
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import (
@@ -182,7 +182,7 @@
 
 
 async def test_large_values_come_from_the_store(monkeypatch):
-    monkeypatch.setattr(shared_watch, "LARGE_VALUE_BYTES", 10)
+    monkeypatch.setattr(feed_messages, "LARGE_VALUE_BYTES", 10)
     async with Fleet(20).following() as fleet:
         calls = fleet.ways[5].calls
         await fleet.put("a/large", b"y" * 11)
