Jobs run at the processes with the largest links, where machines differ

Cause (chains of steps in the logs): 0.1 to 0.45 s passed from a step's last result to its listing. A listing carries up to 600 KB, saved texts as much each 0.8 s, and readers ask for all of it again, on a link of 60 Mbit/s; six of the 68 machines have 200, and the ranking of processes knew no size. Machines of one size are ranked as before.

--- a/src/crankseam/coordination/duty.py
+++ b/src/crankseam/coordination/duty.py
@@ -21,7 +21,7 @@
     TransactionConflict,
 )
 from crankseam.coordination.process_lease import ProcessLease
-from crankseam.coordination.ranking import turn_delay_s
+from crankseam.coordination.ranking import rank_processes, turn_delay_s
 from crankseam.errors import CrankseamError, KeyValueError
 
 log = logging.getLogger(__name__)
@@ -172,7 +172,7 @@
         """How long this process leaves the duty to those that rank before it."""
         if self._processes is None or self._own() is not None:
             return 0.0
-        return turn_delay_s(self.name, self._processes(), self._process)
+        return turn_delay_s(rank_processes(self.name, self._processes()), self._process)
 
     async def try_acquire(self) -> None:
         """Try once to become the holder."""
--- a/src/crankseam/coordination/presence.py
+++ b/src/crankseam/coordination/presence.py
@@ -18,12 +18,40 @@
 """Below the prefix of states: a key for each living process."""
 
 
+DEFAULT_CAPACITY = 1.0
+
+
+def encode_presence(address: str, capacity: float) -> bytes:
+    """What a process tells of itself: its address, and how large its machine is."""
+    return f"{address} {capacity:g}".encode()
+
+
+def decode_presence(value: bytes) -> tuple[str, float]:
+    """The address and the capacity; a capacity that can't be read is the default."""
+    address, _, capacity = value.decode().partition(" ")
+    try:
+        return address, float(capacity)
+    except ValueError:
+        return address, DEFAULT_CAPACITY
+
+
+def living_capacities(state: PrefixFollower) -> dict[str, float]:
+    """The processes that announced themselves, with the sizes of their machines."""
+    prefix = state.prefix + PROCESS_FOLDER
+    return {
+        key.removeprefix(prefix): decode_presence(entry.value)[1]
+        for key, entry in state.entries.items()
+        if key.startswith(prefix)
+    }
+
+
 class Presence:
     """A key with this process's address, under its lease.
 
     Args:
         state: follows the prefix below which the keys stand.
         address: where peers reach this process, `ip:port`.
+        capacity: how large its machine is, beside others of the deployment.
     """
 
     def __init__(
@@ -33,13 +61,14 @@
         lease: ProcessLease,
         process: str,
         address: str,
+        capacity: float = DEFAULT_CAPACITY,
     ) -> None:
         self._store = store
         self._state = state
         self._lease = lease
         self._prefix = state.prefix + PROCESS_FOLDER
         self._key = self._prefix + process
-        self._address = address
+        self._told = encode_presence(address, capacity)
         self._announced_under = 0
         self._known: list[str] = []
 
@@ -51,7 +80,7 @@
         return [
             Peer(
                 key.removeprefix(self._prefix),
-                entry.value.decode(),
+                decode_presence(entry.value)[0],
                 entry.created or entry.revision,
             )
             for key, entry in self._state.entries.items()
@@ -61,7 +90,11 @@
     def address_of(self, process: str) -> str | None:
         """Where a process is reached; None if it is not known to live."""
         entry = self._state.entries.get(self._prefix + process)
-        return entry.value.decode() if entry is not None else None
+        return decode_presence(entry.value)[0] if entry is not None else None
+
+    def capacities(self) -> dict[str, float]:
+        """All that have told where they are, with the sizes of their machines."""
+        return living_capacities(self._state)
 
     def peers(self) -> list[str]:
         """Addresses of the other processes; the last known ones while the store is out of reach."""
@@ -79,7 +112,7 @@
 
     async def _announce(self) -> None:
         lease = self._lease.number
-        put = Put(self._key, self._address.encode(), lease)
+        put = Put(self._key, self._told, lease)
         try:
             await self._store.commit(Transaction(puts=[put]))
         except KeyValueError as error:
--- a/src/crankseam/coordination/ranking.py
+++ b/src/crankseam/coordination/ranking.py
@@ -5,6 +5,8 @@
 import hashlib
 import random
 
+LARGE_SHARE = 0.5
+"""A machine of at least this share of the largest one's capacity counts as large."""
 FIRST_TURN_S = 0.05
 TURN_STEP_S = 0.12
 """The process that ranks first tries first, the next so much later: by then it has seen the first
@@ -32,9 +34,23 @@
     return sorted(processes, key=weight, reverse=True)
 
 
-def turn_delay_s(subject: str, processes: list[str], process: str) -> float:
+def rank_by_capacity(subject: str, capacities: dict[str, float]) -> list[str]:
+    """The same, but processes of large machines go before all others.
+
+    Examples
+    ========
+
+    >>> rank_by_capacity("m", {"a": 60.0, "b": 200.0, "c": 60.0})[0]
+    'b'
+    """
+    largest = max(capacities.values(), default=0.0)
+    large = [name for name, one in capacities.items() if one >= LARGE_SHARE * largest]
+    others = [name for name in capacities if name not in set(large)]
+    return rank_processes(subject, large) + rank_processes(subject, others)
+
+
+def turn_delay_s(ranked: list[str], process: str) -> float:
     """How long a process leaves a subject that nobody holds to those that rank before it."""
-    ranked = rank_processes(subject, processes)
     rank = ranked.index(process) if process in ranked else TURN_RANKS
     if rank < TURN_RANKS:
         return FIRST_TURN_S + TURN_STEP_S * rank
--- a/src/crankseam/jobs/claims.py
+++ b/src/crankseam/jobs/claims.py
@@ -10,18 +10,17 @@
 
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import Entry
-from crankseam.coordination.presence import PROCESS_FOLDER
+from crankseam.coordination.presence import living_capacities
 from crankseam.coordination.process_lease import ProcessLease
-from crankseam.coordination.ranking import turn_delay_s
+from crankseam.coordination.ranking import rank_by_capacity, turn_delay_s
 from crankseam.errors import KeyValueError
 from crankseam.jobs.demand import ModelDemand, decode_open_job
-from crankseam.jobs.repository import OPEN_PREFIX, OWNER_PREFIX, STATE_PREFIX, JobRepository
+from crankseam.jobs.repository import OPEN_PREFIX, OWNER_PREFIX, JobRepository
 from crankseam.jobs.running import RunningJobs
 from crankseam.serving.supervisor import Supervisor
 
 log = logging.getLogger(__name__)
 
-PROCESS_PREFIX = STATE_PREFIX + PROCESS_FOLDER
 
 RECLAIM_S = 1.0
 FORMER_OWNER_S = 8.0
@@ -145,7 +144,7 @@
 
     def _claim_delay_s(self, job_id: str) -> float:
         """How long this process leaves a job to those that rank before it."""
-        return turn_delay_s(self._subject(job_id), self._living(), self._name)
+        return turn_delay_s(rank_by_capacity(self._subject(job_id), self._living()), self._name)
 
     def _subject(self, job_id: str) -> str:
         """What processes are ranked for: the model, whose next jobs go to the same process."""
@@ -153,12 +152,9 @@
         model = decode_open_job(opened.value).model if opened is not None else ""
         return model or job_id
 
-    def _living(self) -> list[str]:
-        """Names of the processes that announced themselves."""
-        entries = self._state.entries if self._state is not None else {}
-        return [
-            key.removeprefix(PROCESS_PREFIX) for key in entries if key.startswith(PROCESS_PREFIX)
-        ]
+    def _living(self) -> dict[str, float]:
+        """The processes that announced themselves, with the sizes of their machines."""
+        return living_capacities(self._state) if self._state is not None else {}
 
     async def _claim(self, job_id: str) -> bool:
         """Try once; True when there is nothing left to try."""
--- a/src/crankseam/jobs/placement.py
+++ b/src/crankseam/jobs/placement.py
@@ -15,7 +15,7 @@
 
 import msgspec
 
-from crankseam.coordination.ranking import rank_processes
+from crankseam.coordination.ranking import rank_by_capacity
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.errors import AcceptanceUnknown, JobIdTaken
 from crankseam.jobs.item_run import RouteFinder
@@ -76,7 +76,8 @@
 
     jobs : this process's own jobs.
     process : this process's name.
-    processes : names of all living processes.
+    processes : all living processes, with the sizes of their machines: what a step's items make
+        goes out several times, so the large ones run the jobs.
     ask : sends bytes to another process.
     find_route : a job's route in the newest configuration.
     is_behind : whether this process's processor does not suffice for what it does already.
@@ -86,7 +87,7 @@
         self,
         jobs: SubmissionTaker,
         process: str,
-        processes: Callable[[], list[str]],
+        processes: Callable[[], dict[str, float]],
         ask: ProcessAsker,
         find_route: RouteFinder,
         is_behind: Callable[[], bool],
@@ -127,10 +128,14 @@
     def _choose(self, job: JobDefinition) -> str | None:
         """The process to hand a job to; None for this one."""
         now = time.monotonic()
-        living = [name for name in self._processes() if self._avoid_until.get(name, 0.0) <= now]
+        living = {
+            name: capacity
+            for name, capacity in self._processes().items()
+            if self._avoid_until.get(name, 0.0) <= now
+        }
         route = self._find_route(job)
         subject = job.model or (route.name if route is not None else job.host)
-        first = next(iter(rank_processes(subject, living)), self._process)
+        first = next(iter(rank_by_capacity(subject, living)), self._process)
         return first if first != self._process else None
 
     async def _hand_over(self, chosen: str, job: JobDefinition, deadline: float) -> Outcome:
--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -67,6 +67,8 @@
     store_address: str
     """`ip:port` of the coordination store."""
     role: str = ""
+    link_megabits: float = 1.0
+    """Megabits a second of this machine's link; only its size beside others' counts."""
     data_folder: str = ""
     listen: Listeners = Listeners()
     bounds: Bounds = Bounds()
--- a/tests/jobs/test_placement.py
+++ b/tests/jobs/test_placement.py
@@ -37,7 +37,7 @@
     """Placements of several processes; those in `silent` answer nobody."""
 
     def __init__(self, names=NAMES):
-        self.names = list(names)
+        self.capacities = dict.fromkeys(names, 60.0)
         self.jobs = {name: Jobs() for name in names}
         self.silent = set()
         self.behind = set()
@@ -46,7 +46,7 @@
             name: JobPlacement(
                 self.jobs[name],
                 name,
-                lambda: self.names,
+                lambda: self.capacities,
                 self.ask,
                 lambda job: make_route(),
                 lambda name=name: name in self.behind,
@@ -59,7 +59,7 @@
         if process in self.silent:
             await asyncio.sleep(0)
             raise KeyValueOutcomeUnknown("no answer")
-        if process not in self.names:
+        if process not in self.capacities:
             raise KeyValueUnavailable("no such process")
         return await self.placements[process].serve(body)
 
@@ -147,9 +147,9 @@
         return b"\xc1"
 
     rest = (lambda job: make_route(), lambda: False)
-    asker = JobPlacement(jobs, "a", lambda: ["a", "b", "c"], ask, *rest)
+    asker = JobPlacement(jobs, "a", lambda: dict.fromkeys("abc", 1.0), ask, *rest)
     if rank_processes(job.model, ["a", "b", "c"])[0] == "a":
-        asker = JobPlacement(jobs, "z", lambda: ["a", "b", "c"], ask, *rest)
+        asker = JobPlacement(jobs, "z", lambda: dict.fromkeys("abc", 1.0), ask, *rest)
     with pytest.raises(AcceptanceUnknown):
         await asker.submit(job, soon())
 
@@ -160,3 +160,24 @@
     after = {subject: rank_processes(subject, NAMES[1:])[0] for subject in subjects}
     assert all(after[one] == before[one] for one in subjects if before[one] != NAMES[0])
     assert len(set(before.values())) == len(NAMES)
+
+
+async def test_a_process_on_a_large_machine_runs_the_job_wherever_it_was_submitted():
+    network = Network()
+    large = unsuitable(make_job())
+    network.capacities[large] = 200.0
+    for number, name in enumerate(NAMES):
+        await network.placements[name].submit(make_job(f"j{number}"), soon())
+    taken = {name: jobs.taken for name, jobs in network.jobs.items() if jobs.taken}
+    assert taken == {large: [f"j{number}" for number in range(len(NAMES))]}
+
+
+async def test_where_the_large_machine_is_behind_another_takes_the_job():
+    network = Network()
+    large = unsuitable(make_job())
+    network.capacities[large] = 200.0
+    network.behind = {large}
+    await network.placements[NAMES[0]].submit(make_job("j1"), soon())
+    await network.placements[NAMES[0]].submit(make_job("j2"), soon())
+    assert not network.jobs[large].taken
+    assert sum(len(jobs.taken) for jobs in network.jobs.values()) == 2
