A frozen peer is asked after those that could do nothing, and its watch ends sooner

Change: peers that could do nothing are avoided for 0.3 s and go before silent ones, which are asked only if there is no other; a watch through a peer has a slack of 0.4 s, other calls 1 s.

--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -44,10 +44,14 @@
 refuses a third of the processes, one in 27 calls finds no way."""
 PROBE_SECONDS = 1.0
 """How often the own way is tried meanwhile."""
-PEER_SLACK_SECONDS = 1.5
+PEER_SLACK_SECONDS = 1.0
+"""A peer answers a call within this: as long as a process waits for the store itself."""
+WATCH_SLACK_SECONDS = 0.4
+"""A watch through a peer that froze must not hide a change for longer than it may be hidden."""
 PEER_AVOIDED_SECONDS = 3.0
-"""A peer that did not answer, or could do nothing, is asked no more for so long: it may be gone and
-still be listed, or be refused as this process is."""
+"""A peer that did not answer is asked no more for so long: it may be gone and still be listed."""
+REFUSED_AVOIDED_SECONDS = 0.3
+"""A peer that could do nothing is asked again after this, and before a silent one."""
 NOTHING_DONE = (KeyValueUnavailable.__name__, KeyValueThrottled.__name__)
 """Failures after which the same call may be made again."""
 
@@ -164,7 +168,9 @@
         self._probed_at = float("-inf")
         self._through_peers = False
         self._avoid_until: dict[str, float] = {}
-        """Monotonic time until which a peer is asked only if there is no other, by address."""
+        """Monotonic time until which a silent peer is asked only if there is no other."""
+        self._refused_until: dict[str, float] = {}
+        """The same for a peer that could do nothing; it goes before a silent one."""
         self.answered_at = float("-inf")
         """Monotonic time at which the newest call was sent that the store answered directly."""
 
@@ -242,10 +248,11 @@
         while True:
             peer = self._pick_peer(tried)
             tried.append(peer)
-            answer = await self._ask_one(peer, raw, call.wait + PEER_SLACK_SECONDS)
+            slack_s = WATCH_SLACK_SECONDS if call.name == "watch" else PEER_SLACK_SECONDS
+            answer = await self._ask_one(peer, raw, call.wait + slack_s)
             if answer.error in NOTHING_DONE:
-                self._avoid(peer)
-                if len(tried) < min(PEERS_TRIED, len(self._peers())):
+                self._refused_until[peer] = time.monotonic() + REFUSED_AVOIDED_SECONDS
+                if len(tried) < PEERS_TRIED and self._answering(tried):
                     continue
             _raise_error(answer)
             if not self._through_peers:
@@ -260,20 +267,27 @@
         except msgspec.DecodeError as error:
             raise KeyValueOutcomeUnknown("malformed answer of a peer") from error
         except KeyValueError:
-            self._avoid(peer)
+            self._avoid_until[peer] = time.monotonic() + PEER_AVOIDED_SECONDS
             raise
 
-    def _avoid(self, peer: str) -> None:
-        self._avoid_until[peer] = time.monotonic() + PEER_AVOIDED_SECONDS
+    def _answering(self, tried: list[str]) -> list[str]:
+        """Peers that were not tried for this call and are not known to be silent."""
+        now = time.monotonic()
+        return [
+            one
+            for one in self._peers()
+            if one not in tried and self._avoid_until.get(one, 0.0) <= now
+        ]
 
     def _pick_peer(self, tried: list[str]) -> str:
         """Any peer that was not tried; one that was of no use lately only if there is no other."""
-        peers = [one for one in self._peers() if one not in tried]
-        if not peers:
-            raise KeyValueUnavailable("no peer is known")
         now = time.monotonic()
-        answering = [one for one in peers if self._avoid_until.get(one, 0.0) <= now]
-        return random.choice(answering or peers)
+        answering = self._answering(tried)
+        useful = [one for one in answering if self._refused_until.get(one, 0.0) <= now]
+        found = useful or answering or [one for one in self._peers() if one not in tried]
+        if not found:
+            raise KeyValueUnavailable("no peer is known")
+        return random.choice(found)
 
     async def get(self, key: str) -> Entry | None:
         """See CoordinationStore."""
--- a/tests/coordination/test_relay.py
+++ b/tests/coordination/test_relay.py
@@ -1,5 +1,6 @@
 import asyncio
 
+import msgspec
 import pytest
 
 from crankseam.coordination import relay
@@ -175,3 +176,30 @@
         stores[name] = RelayedStore(way, lambda others=others: others, call_peer)
     with pytest.raises(KeyValueUnavailable):
         await stores["a"].commit(Transaction(puts=[Put("k", b"1")]))
+
+
+async def test_a_peer_that_can_do_nothing_goes_before_one_that_is_silent(monkeypatch):
+    """In an outage for all, whoever is frozen must not be asked in place of the others."""
+    monkeypatch.setattr(relay, "FAILING_AFTER_SECONDS", 0.0)
+    monkeypatch.setattr(relay, "PROBE_SECONDS", 1000.0)
+    own = OwnWay(MemoryStore())
+    own.error = KeyValueUnavailable("refused")
+    asked = []
+
+    async def call_peer(address, raw, longest):
+        asked.append((address, longest))
+        if address == "silent":
+            raise KeyValueOutcomeUnknown("silent")
+        return msgspec.msgpack.encode(relay.RelayAnswer(KeyValueUnavailable.__name__))
+
+    relayed = RelayedStore(own, lambda: ["silent", "refused"], call_peer)
+    silent_seen = False
+    for _ in range(20):
+        asked.clear()
+        with pytest.raises((KeyValueUnavailable, KeyValueOutcomeUnknown)):
+            await relayed.watch("a/", 0, 0.7)
+        if silent_seen:
+            assert [address for address, _ in asked] == ["refused"]
+        silent_seen = silent_seen or ("silent" in [address for address, _ in asked])
+        assert max(longest for _, longest in asked) <= 0.7 + relay.WATCH_SLACK_SECONDS
+    assert silent_seen
