Results that do not fit one value of the store are listed by several writes

Change: a listing takes the first results that fit, the next one the rest. Test: tests/jobs/test_runner.py, failed before.

--- a/src/crankseam/jobs/repository.py
+++ b/src/crankseam/jobs/repository.py
@@ -252,6 +252,19 @@
         await self._store.watch(result_prefix(job_id), after_revision, wait)
 
 
+def fitting_one_chunk(results: list[ItemResult]) -> list[ItemResult]:
+    """The first results that fit one value of the store; one at least.
+
+    A value that is too large is refused each time, so that nothing after it would be listed.
+    """
+    budget = PART_BYTES
+    for count, result in enumerate(results):
+        budget -= len(msgspec.msgpack.encode(result))
+        if budget < 0:
+            return results[: max(1, count)]
+    return results
+
+
 def decode_chunk(entry: Entry) -> list[ItemResult]:
     """The results of one chunk."""
     return _decode_results(entry.value)
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -14,7 +14,7 @@
 from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.listing_moments import ListingMoments
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
-from crankseam.jobs.repository import JobRepository
+from crankseam.jobs.repository import JobRepository, fitting_one_chunk
 
 log = logging.getLogger(__name__)
 
@@ -213,11 +213,11 @@
             number = self.chunks
             if self._listing_since is None:
                 self._listing_since = time.monotonic()
+            part = fitting_one_chunk(batch)
             try:
-                await self._repository.append(self.job.id, number, batch)
+                await self._repository.append(self.job.id, number, part)
                 if number == self.chunks:
-                    self._take_chunk(batch)
-                break
+                    self._take_chunk(part)
             except ResultsConflict as conflict:
                 log.warning("results_conflict", extra={"job": self.job.id, "chunk": number})
                 if number == self.chunks:
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -75,3 +75,18 @@
         await eventually(lambda: runner.is_listed("j1-i3"))
     finally:
         running.cancel()
+
+
+async def test_results_that_do_not_fit_one_value_are_listed_by_several_writes(monkeypatch):
+    """The store refuses a value that is too large each time."""
+    monkeypatch.setattr("crankseam.jobs.repository.PART_BYTES", 1000)
+    store = MemoryStore()
+    runner = make_runner(store, make_job(items=7))
+    runner.accepted.set()
+    runner._pending = [ItemResult(f"j1-i{number}", True, "x" * 400) for number in range(6)]
+    runner._pending.append(ItemResult("j1-i6", True, "y" * 5000))
+    await runner.list_rest()
+    chunks, _ = await JobRepository(store, "b").read_chunks("j1", 0)
+    assert [len(chunk) for chunk in chunks] == [2, 2, 2, 1]
+    assert [result.id for result in runner.results] == [f"j1-i{number}" for number in range(7)]
+    assert not runner._pending
