A holder of the usage duty that won it anew is told all counts again

Shown by no log; by reading, a holder whose lease lapses forgets what it was told since its last save, and those who told it go by its name, which stays. Change: those who count go by the holder's token, too. Test: tests/usage/test_reporter.py (written with the code).

--- a/src/crankseam/coordination/duty.py
+++ b/src/crankseam/coordination/duty.py
@@ -97,10 +97,10 @@
         """Whether this process is known to hold the duty, under whichever lease."""
         return self._own() is not None
 
-    def holder(self) -> str | None:
-        """The process that is known to hold the duty."""
+    def holder(self) -> tuple[str, int] | None:
+        """The process that is known to hold the duty, and its token."""
         current = self._current()
-        return current.value.decode() if current is not None else None
+        return (current.value.decode(), current.revision) if current is not None else None
 
     def is_vacant(self) -> bool:
         """Whether nobody is known to hold the duty. Must be called often: it dates the vacancy."""
--- a/src/crankseam/usage/counter.py
+++ b/src/crankseam/usage/counter.py
@@ -44,7 +44,8 @@
     ==========
 
     process : this process's name.
-    find_holder : the process that is known to hold the duty.
+    find_holder : the process that is known to hold the duty, and its token: one that won it anew
+        may have lost what it was told.
     ask : sends bytes to another process.
     """
 
@@ -52,7 +53,7 @@
         self,
         clock: TrueClock,
         process: str,
-        find_holder: Callable[[], str | None],
+        find_holder: Callable[[], tuple[str, int] | None],
         ask: HolderAsker,
     ) -> None:
         self._clock = clock
@@ -61,7 +62,7 @@
         self._source = f"{process}/{secrets.token_hex(4)}"
         self._windows: dict[int, TenantCounts] = {}
         self._changed = asyncio.Event()
-        self._told_to: str | None = None
+        self._told_to: tuple[str, int] | None = None
 
     def count(self, tenant: str, began_at: float) -> None:
         """A request of a tenant began to run at this time of the steady clock."""
@@ -88,7 +89,7 @@
         while True:
             await self._wait_for_news()
             holder = self._find_holder()
-            if holder is not None and await self._tell(holder):
+            if holder is not None and await self._tell(holder[0]):
                 backoff.reset()
                 self._told_to = holder
                 await asyncio.sleep(GATHER_S)
@@ -100,7 +101,7 @@
         """Before a planned end: tell the holder what it was not told yet."""
         holder = self._find_holder()
         if self._changed.is_set() and holder is not None:
-            await self._tell(holder)
+            await self._tell(holder[0])
 
     async def _wait_for_news(self) -> None:
         """Return when something was counted, or when another process holds the duty."""
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -170,3 +170,13 @@
     await others[0].counter.flush()
     others[0].kill()
     await eventually(lambda: platform.total() == 1)
+
+
+async def test_a_holder_that_won_the_duty_anew_is_told_again(three):
+    store, platform, processes = three
+    holder, others = split(processes)
+    for process in others:
+        process.count("t")
+    await eventually(lambda: all(not one.counter._changed.is_set() for one in others))
+    store.expire_lease(holder.lease.number)
+    await eventually(lambda: platform.total() == 2)
