--- a/src/crankseam/coordination/duty.py
+++ b/src/crankseam/coordination/duty.py
@@ -73,7 +73,8 @@
         self._lease = lease
         self._process = process
         self._turn_pause = turn_pause + TURN_MARGIN_SECONDS
-        self._holder_key = f"{state.prefix}{name}/holder"
+        self.holder_key = f"{state.prefix}{name}/holder"
+        """This key stands while somebody holds the duty; its revision is the fence."""
         self._last_key = f"{state.prefix}{name}/last"
         self._vacant_since: float | None = None
         self._held_revision = 0
@@ -81,18 +82,13 @@
         self._refused_fence = 0
 
     def _current(self) -> Entry | None:
-        return self._state.entries.get(self._holder_key)
+        return self._state.entries.get(self.holder_key)
 
     def _own(self) -> Entry | None:
         """The holder's key, if it names this process, under whichever lease."""
         current = self._current()
         return current if current is not None and current.value == self._process.encode() else None
 
-    @property
-    def holder_key(self) -> str:
-        """The key that stands while somebody holds the duty; its revision is the fence."""
-        return self._holder_key
-
     def is_holder(self) -> bool:
         """Whether this process is known to hold the duty, under whichever lease."""
         return self._own() is not None
@@ -187,11 +183,11 @@
             return
         current, last = self._current(), self._state.entries.get(self._last_key)
         conditions = [
-            Condition(self._holder_key, current.revision if current is not None else ABSENT),
+            Condition(self.holder_key, current.revision if current is not None else ABSENT),
             Condition(self._last_key, last.revision if last is not None else ABSENT),
         ]
         name = self._process.encode()
-        puts = [Put(self._holder_key, name, lease), Put(self._last_key, name)]
+        puts = [Put(self.holder_key, name, lease), Put(self._last_key, name)]
         try:
             revision = await self._store.commit(Transaction(conditions, puts))
         except TransactionConflict:
--- a/src/crankseam/coordination/presence.py
+++ b/src/crankseam/coordination/presence.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Awaitable, Callable
 
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import CoordinationStore, Put, Transaction
@@ -16,9 +17,12 @@
 RETRY_SECONDS = 1.0
 PROCESS_FOLDER = "process/"
 """Below the prefix of states: a key for each living process."""
-
-
 DEFAULT_CAPACITY = 1.0
+ProcessAsker = Callable[[str, bytes, float], Awaitable[bytes]]
+"""Sends bytes to a process by its name and returns its answer within so many seconds.
+
+Raises KeyValueError if there is no such process, or no answer.
+"""
 
 
 def encode_presence(address: str, capacity: float) -> bytes:
--- a/src/crankseam/jobs/peer_reads.py
+++ b/src/crankseam/jobs/peer_reads.py
@@ -6,12 +6,12 @@
 
 from __future__ import annotations
 
-from collections.abc import Awaitable, Callable
 from functools import singledispatchmethod
 from typing import TYPE_CHECKING, Protocol
 
 import msgspec
 
+from crankseam.coordination.presence import ProcessAsker
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.errors import JobUnknown
 from crankseam.jobs.model import ItemDefinition, ItemResult
@@ -22,12 +22,6 @@
 ANSWER_SLACK_S = 0.3
 """An owner that answers later than this is not waited for: the store is asked instead."""
 
-OwnerAsker = Callable[[str, bytes, float], Awaitable[bytes]]
-"""Sends bytes to a process by its name and returns its answer within so many seconds.
-
-Raises KeyValueError if there is no such process, or no answer.
-"""
-
 
 class ResultsQuestion(msgspec.Struct, frozen=True, tag=True):
     """Results of a job from a position on, waited for ``wait_s`` seconds if there is none."""
@@ -71,7 +65,7 @@
 class PeerReads:
     """See OwnerClient; also answers for the jobs that this process owns."""
 
-    def __init__(self, ask: OwnerAsker) -> None:
+    def __init__(self, ask: ProcessAsker) -> None:
         self._ask_owner = ask
         self._jobs: JobService | None = None
 
--- a/src/crankseam/jobs/placement.py
+++ b/src/crankseam/jobs/placement.py
@@ -10,11 +10,12 @@
 import enum
 import logging
 import time
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 from typing import Protocol
 
 import msgspec
 
+from crankseam.coordination.presence import ProcessAsker
 from crankseam.coordination.ranking import rank_by_capacity
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.errors import AcceptanceUnknown, JobIdTaken
@@ -64,10 +65,6 @@
         """Whether this process takes so many more items that others hand to it."""
 
 
-ProcessAsker = Callable[[str, bytes, float], Awaitable[bytes]]
-"""Sends bytes to a process by its name; its answer within so many seconds, or a KeyValueError."""
-
-
 class JobPlacement:
     """Brings submissions to the processes that are to run them.
 
--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -54,8 +54,6 @@
     address: str = ""
     usage: bool = False
     """Whether usage is to be reported there."""
-    fences_checked: bool = True
-    """Whether the platform refuses calls of an earlier holder."""
 
 
 class ProcessSettings(msgspec.Struct, frozen=True):
--- a/src/crankseam/usage/counter.py
+++ b/src/crankseam/usage/counter.py
@@ -11,11 +11,12 @@
 import asyncio
 import logging
 import secrets
-from collections.abc import Awaitable, Callable
+from collections.abc import Callable
 
 import msgspec
 
 from crankseam.backoff import Backoff
+from crankseam.coordination.presence import ProcessAsker
 from crankseam.errors import KeyValueError
 from crankseam.usage.clock import TrueClock
 from crankseam.usage.messages import TenantCounts, UsageCounts, UsageReceipt
@@ -30,12 +31,6 @@
 MOST_WINDOWS = 24
 """Windows that are kept while nobody settles them: at 5 s each, two minutes."""
 
-HolderAsker = Callable[[str, bytes, float], Awaitable[bytes]]
-"""Sends bytes to a process by its name and returns its answer within so many seconds.
-
-Raises KeyValueError if there is no such process, or no answer.
-"""
-
 
 class UsageCounter:
     """Counts requests by window and tenant, and tells the holder.
@@ -54,7 +49,7 @@
         clock: TrueClock,
         process: str,
         find_holder: Callable[[], tuple[str, int] | None],
-        ask: HolderAsker,
+        ask: ProcessAsker,
     ) -> None:
         self._clock = clock
         self._find_holder = find_holder
