Sight: a line tells a back end that ended from a broken connection, and a request that returns by its fingerprint

Cause (of the blindness): no log line names what a request asks for, so a return under another id can't be told from another request; and a broken connection looks alike whether its back end ended, was reset or replaced. Ruled out: naming the body (may be long, and private); a probe by HTTP (priced, and waits for a slot). Change: request_answered and request_given_up carry the back ends that ended under them and, only then, a digest of tenant, method, host, target and body; back_end_ended says by which evidence. No decision uses either yet. A broken attempt is followed by one look at the address (a connection that is refused within a round trip), one for all that broke together.

--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -52,6 +52,8 @@
     """Newest weight version seen in answers, by model."""
     runs: dict[str, RunSize] = field(default_factory=dict)
     """Runs of this process that hold or were granted a place there, by item."""
+    has_ended: bool = False
+    """Whether this process found that it ended without having said so."""
 
     def expected_load(self, now: float) -> float:
         """Requests there: this process's own and, while the report is fresh, those of others."""
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -10,7 +10,9 @@
 
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from crankseam.errors import OutcomeUnknown, Problem, Unavailable
+from crankseam.quarantine.fingerprint import request_fingerprint
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry, choose
+from crankseam.serving.ended_back_ends import EndedBackEnds
 from crankseam.serving.messages import (
     Answer,
     AttemptBroken,
@@ -45,12 +47,15 @@
     reasons: list[str] = field(default_factory=list)
     began_at: float | None = None
     """Steady time at which it was sent to the first back end that may have run it."""
+    ended: list[str] = field(default_factory=list)
+    """Back ends that ended while they may have run it."""
 
 
 class Forwarder:
     """Forwards requests of one process.
 
     Args:
+        ends: tells a back end that ended from one whose connection broke.
         zone: where this process runs; back ends there are preferred between equals.
         on_begun: called once for each request that may have begun to run, with its tenant and the
             steady time at which it did.
@@ -60,12 +65,14 @@
         self,
         registry: BackEndRegistry,
         client: BackEndClient,
+        ends: EndedBackEnds,
         zone: str,
         on_begun: Callable[[str, float], None] | None = None,
     ) -> None:
         self._on_begun = on_begun
         self._registry = registry
         self._client = client
+        self._ends = ends
         self._zone = zone
         self._splitter = TrafficSplitter()
 
@@ -102,6 +109,8 @@
                 "status": answer.status if answer is not None else None,
                 "attempts": sorted(progress.tried),
                 "reasons": progress.reasons,
+                "ended": progress.ended,
+                "fingerprint": request_fingerprint(request) if progress.ended else "",
                 "seconds": round(time.monotonic() - request.received_at, 4),
             },
         )
@@ -209,10 +218,13 @@
             back_end.was_full()
             if refusal.wrong_instance:
                 back_end.failed()
+                self._ends.found_another(back_end)
             return None
         except AttemptBroken as failure:
             progress.reasons.append(f"{back_end.record.id}: {failure.reason}")
             back_end.failed()
+            if await self._ends.has_ended(back_end):
+                progress.ended.append(back_end.record.id)
             return None
         finally:
             back_end.in_flight -= 1
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -18,6 +18,19 @@
     fields: tuple[str, ...] = ()
 
 
+_FORWARDED = (
+    "request",
+    "route",
+    "service",
+    "tenant",
+    "status",
+    "attempts",
+    "reasons",
+    "ended",
+    "fingerprint",
+    "seconds",
+)
+
 EVENTS: dict[str, LogEvent] = {
     # --- the process
     "started": LogEvent("The process begins to serve.", ("settings",)),
@@ -61,16 +74,21 @@
     "back_end_in": LogEvent("Discovery shows a new back end.", ("back_end", "service")),
     "back_end_leaving": LogEvent("It is leaving: nothing new is sent there.", ("back_end",)),
     "back_end_out": LogEvent("It is gone from discovery.", ("back_end",)),
+    "back_end_ended": LogEvent(
+        "It ended without having said so; `running` requests of this process were there.",
+        ("back_end", "service", "evidence", "running"),
+    ),
     "machine_retired": LogEvent("Told the operator that a machine is empty.", ("machine",)),
     "retirement_failed": LogEvent("Telling so failed and is tried again.", ("error",)),
     # --- requests
     "request_answered": LogEvent(
         "A back end's answer goes to the caller.",
-        ("request", "route", "service", "tenant", "status", "attempts", "reasons", "seconds"),
+        _FORWARDED,
     ),
     "request_given_up": LogEvent(
-        "No back end answered; `reasons` has one line an attempt.",
-        ("request", "route", "service", "tenant", "status", "attempts", "reasons", "seconds"),
+        "No back end answered; `reasons` has one line an attempt, `ended` the back ends that ended"
+        " under it, `fingerprint` what is alike when it comes again.",
+        _FORWARDED,
     ),
     "request_hedged": LogEvent("A second attempt, as the first is slow.", ("request", "slow")),
     "request_refused": LogEvent(
--- a/src/crankseam/story.py
+++ b/src/crankseam/story.py
@@ -9,7 +9,7 @@
 
 import msgspec
 
-SUBJECT_FIELDS = ("request", "job", "item", "back_end", "model", "machine")
+SUBJECT_FIELDS = ("request", "job", "item", "back_end", "model", "machine", "fingerprint")
 SURROUNDING_EVENTS = frozenset(
     {
         "started",
@@ -26,7 +26,14 @@
 )
 """Events of a process that may explain what it did to a request."""
 BACK_END_EVENTS = frozenset(
-    {"back_end_out", "back_end_leaving", "version_ordered", "version_loaded", "order_failed"}
+    {
+        "back_end_out",
+        "back_end_leaving",
+        "back_end_ended",
+        "version_ordered",
+        "version_loaded",
+        "order_failed",
+    }
 )
 MARGIN_SECONDS = 2.0
 
--- /dev/null
+++ b/tests/serving/test_ended_back_ends.py
@@ -0,0 +1,75 @@
+import asyncio
+
+import pytest
+
+from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
+from crankseam.serving.ended_back_ends import EndedBackEnds
+
+RECORD = BackEndRecord("b1", "svc", "127.0.0.1:9000", "z", 4)
+LEAVING = BackEndRecord("b1", "svc", "127.0.0.1:9000", "z", 4, leaving=True)
+
+
+class ScriptedProbe:
+    """Says what tests let it say."""
+
+    def __init__(self, refuses):
+        self.refuses = refuses
+        self.looks = 0
+
+    async def refuses_connections(self, back_end):
+        self.looks += 1
+        await asyncio.sleep(0)
+        return self.refuses
+
+
+@pytest.fixture
+def registry():
+    registry = BackEndRegistry()
+    registry.update(RECORD)
+    return registry
+
+
+async def test_one_that_refuses_connections_has_ended_and_is_looked_at_once(registry):
+    probe = ScriptedProbe(refuses=True)
+    ends = EndedBackEnds(registry, probe)
+    back_end = registry.by_id("b1")
+    assert await asyncio.gather(*(ends.has_ended(back_end) for _ in range(12))) == [True] * 12
+    assert await ends.has_ended(back_end) and back_end.has_ended
+    assert probe.looks == 1
+
+
+async def test_one_that_takes_connections_has_not_ended_and_is_looked_at_anew(registry):
+    probe = ScriptedProbe(refuses=False)
+    ends = EndedBackEnds(registry, probe)
+    assert not await ends.has_ended(registry.by_id("b1"))
+    probe.refuses = True
+    assert await ends.has_ended(registry.by_id("b1"))
+
+
+@pytest.mark.parametrize("is_gone", [True, False])
+async def test_one_that_leaves_or_is_gone_ended_as_planned(registry, is_gone):
+    back_end = registry.by_id("b1")
+    if is_gone:
+        registry.remove("b1")
+    else:
+        registry.update(LEAVING)
+    ends = EndedBackEnds(registry, ScriptedProbe(refuses=True))
+    ends.found_another(back_end)
+    assert not await ends.has_ended(back_end) and not back_end.has_ended
+
+
+async def test_another_one_at_its_address_shows_that_it_ended(registry):
+    ends = EndedBackEnds(registry, ScriptedProbe(refuses=False))
+    back_end = registry.by_id("b1")
+    ends.found_another(back_end)
+    assert await ends.has_ended(back_end)
+
+
+async def test_a_request_that_is_given_up_meanwhile_stops_no_look_of_others(registry):
+    ends = EndedBackEnds(registry, ScriptedProbe(refuses=True))
+    back_end = registry.by_id("b1")
+    first = asyncio.create_task(ends.has_ended(back_end))
+    second = asyncio.create_task(ends.has_ended(back_end))
+    await asyncio.sleep(0)
+    first.cancel()
+    assert await second
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -20,6 +20,7 @@
     ROOT / "src/crankseam/coordination",
     ROOT / "src/crankseam/usage",
     ROOT / "src/crankseam/scaling",
+    ROOT / "src/crankseam/quarantine",
     ROOT / "platform/crankseam_platform",
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
