A request under which back ends ended is held back, whoever it comes to, and tried again one at a time

Cause: nothing in the product knew a returning request again. Attempts were counted for one attempt of a caller, by one process, and forgotten; items and scoring requests were sent again without any limit when their connection broke. Ruled out: samplers that end by themselves (the tests end them by one body only); a limit within one attempt alone (ends came under eight ids at five processes in the record). Change: package quarantine. A request is known again by a digest of tenant, method, host, target and body. A back end counts as ended if discovery showed it serving and its address then refuses connections or is another's. Ends are written to the store, below the prefix that every process follows anyway; while the store does not answer, peers are told directly. After two ends (an item: three without an event in between) it is sent to nobody for 3 s, then to one back end by the one process that wins the store's compare-and-swap, then 12 s and 48 s later, then not before an operator says so. A whole answer frees it everywhere. Callers get 503, not run, with the time to come back; items wait, and are given up at the time their route allows. Without a suspect a request costs one look into an empty table.

--- a/src/crankseam/coordination/follower.py
+++ b/src/crankseam/coordination/follower.py
@@ -53,6 +53,7 @@
         self._store = store
         self.prefix = prefix
         self._on_change = on_change
+        self._listeners: list[tuple[str, ChangeHandler]] = []
         self._wait = wait
         self._settle = settle
         self.entries: dict[str, Entry] = {}
@@ -65,6 +66,16 @@
         self.confirmed_at = float("-inf")
         """Monotonic time at which a call was sent whose answer showed this copy to be complete."""
 
+    def listen(self, prefix: str, on_change: ChangeHandler) -> None:
+        """Also tell of the changes below a longer prefix."""
+        self._listeners.append((prefix, on_change))
+
+    def _changed(self, key: str, entry: Entry | None) -> None:
+        self._on_change(key, entry)
+        for prefix, on_change in self._listeners:
+            if key.startswith(prefix):
+                on_change(key, entry)
+
     @property
     def synchronized(self) -> bool:
         """Whether the prefix has been read at least once."""
@@ -150,7 +161,7 @@
         if known is not None and known.revision >= entry.revision:
             return
         self.entries[entry.key] = entry
-        self._on_change(entry.key, entry)
+        self._changed(entry.key, entry)
 
     def _take_removal(self, removal: Removal) -> None:
         known = self.entries.get(removal.key)
@@ -159,4 +170,4 @@
 
     def _remove(self, key: str) -> None:
         del self.entries[key]
-        self._on_change(key, None)
+        self._changed(key, None)
--- a/src/crankseam/coordination/peer_http.py
+++ b/src/crankseam/coordination/peer_http.py
@@ -3,12 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Awaitable, Callable
 
 import aiohttp
 from aiohttp import web
 
-from crankseam.errors import KeyValueOutcomeUnknown, KeyValueUnavailable
+from crankseam.errors import KeyValueError, KeyValueOutcomeUnknown, KeyValueUnavailable
+
+log = logging.getLogger(__name__)
 
 RELAY_PATH = "/store"
 """A call of the store, made for a peer that it does not serve."""
@@ -18,11 +21,16 @@
 """Results of a job that the asked process runs."""
 JOBS_PATH = "/jobs"
 """A job for the asked process to run."""
+SUSPECTS_PATH = "/suspects"
+"""Requests under which back ends ended, while the store is away."""
 USAGE_PATH = "/usage-counts"
 """What the asking process counted, for the holder of the usage duty."""
 NOT_SERVED = 404
 CONNECT_SECONDS = 0.4
 LONGEST_CALL_BYTES = 4 * 1024 * 1024
+TELL_SECONDS = 1.0
+TOLD_AT_ONCE = 32
+"""Peers that are told the same at one time: a slow core opens some hundred connections a second."""
 
 CallHandler = Callable[[bytes], Awaitable[bytes]]
 
@@ -67,6 +75,19 @@
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise KeyValueOutcomeUnknown(f"peer: {type(error).__name__}") from error
 
+    async def tell_all(self, path: str, addresses: list[str], body: bytes) -> None:
+        """Send bytes to many peers; one that can't be reached is left out."""
+        places = asyncio.Semaphore(TOLD_AT_ONCE)
+
+        async def tell(address: str) -> None:
+            async with places:
+                try:
+                    await self.call(path, address, body, TELL_SECONDS)
+                except KeyValueError as error:
+                    log.info("peer_not_told", extra={"peer": address, "error": str(error)})
+
+        await asyncio.gather(*(tell(address) for address in addresses))
+
 
 class PeerListener:
     """Serves the calls of peers: one handler a path."""
--- a/src/crankseam/errors.py
+++ b/src/crankseam/errors.py
@@ -190,6 +190,12 @@
     type = "unavailable"
 
 
+class RequestHeld(Unavailable):
+    """Back ends ended under this request before; it is held back, and was sent to nobody."""
+
+    type = "request-held"
+
+
 class DeadlineExceeded(Problem):
     """The caller's deadline passed before the request was forwarded."""
 
--- a/src/crankseam/jobs/item_maker.py
+++ b/src/crankseam/jobs/item_maker.py
@@ -6,12 +6,10 @@
 
 import msgspec
 
-from crankseam.jobs.dispatcher import Dispatcher
-from crankseam.jobs.item_run import GenerationClient, ItemRun, RouteFinder, whole_result
+from crankseam.jobs.item_run import ItemRun, RunParts, whole_result
 from crankseam.jobs.item_seconds import ItemSeconds
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.scoring import ItemScorer
-from crankseam.serving.routes import TrafficSplitter
 
 DEFAULT_QUEUE_S = 60.0
 DEFAULT_ATTEMPTS = 1
@@ -23,21 +21,12 @@
     Parameters
     ==========
 
-    find_route : a job's route in the newest configuration.
+    parts : what their runs use.
     """
 
-    def __init__(
-        self,
-        dispatcher: Dispatcher,
-        client: GenerationClient,
-        find_route: RouteFinder,
-        splitter: TrafficSplitter,
-        scorer: ItemScorer,
-    ) -> None:
-        self._dispatcher = dispatcher
-        self._client = client
-        self._find_route = find_route
-        self._splitter = splitter
+    def __init__(self, parts: RunParts, scorer: ItemScorer) -> None:
+        self._parts = parts
+        self._find_route = parts.find_route
         self._scorer = scorer
         self.item_seconds = ItemSeconds()
 
@@ -81,17 +70,7 @@
         if kept.whole:
             return whole_result(item, kept)
         begun_elsewhere = bool(kept.events)
-        run = ItemRun(
-            job,
-            item,
-            rank,
-            self._find_route,
-            self._splitter,
-            self._dispatcher,
-            self._client,
-            kept,
-            is_long,
-        )
+        run = ItemRun(job, item, rank, self._parts, kept, is_long)
         result = await run.run()
         if result.completed and not begun_elsewhere:
             self.item_seconds.ended(job.model, item, run.held_s)
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -7,6 +7,7 @@
 import time
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
+from dataclasses import dataclass
 from functools import partial
 from typing import Protocol
 
@@ -22,6 +23,9 @@
 from crankseam.jobs.move_wishes import MoveWish
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_place import routed_place
+from crankseam.quarantine.crash_guard import CrashGuard
+from crankseam.quarantine.model import DEFAULT_MOST_ENDS_OF_ITEM, TrialSubject
+from crankseam.quarantine.trial import Send
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.engine_memory import RunSize
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
@@ -76,16 +80,37 @@
     return ItemResult(item.id, True, "\n".join(text.events), list(text.versions))
 
 
+def _subject(job: JobDefinition, item: ItemDefinition) -> TrialSubject:
+    return TrialSubject(item.id, job.tenant, "", "POST", job.host, item.path, item.body)
+
+
 class _MoveAway(Exception):
     """The sampler is slow and another one has room."""
 
 
+@dataclass(frozen=True)
+class RunParts:
+    """What all runs of a process use.
+
+    Attributes
+    ==========
+
+    find_route : the job's route in the newest configuration; None while there is none.
+    guard : holds back items under which back ends ended.
+    """
+
+    dispatcher: Dispatcher
+    client: GenerationClient
+    find_route: RouteFinder
+    splitter: TrafficSplitter
+    guard: CrashGuard
+
+
 class ItemRun:
     """One item of a job, on its way to a result.
 
     Args:
         rank: order among all waiting items of this process; smaller goes first.
-        find_route: the job's route in the newest configuration; None while there is none.
         kept: events made by earlier attempts, perhaps of another process.
         is_long: whether the item is expected to be among its job's longest.
     """
@@ -95,20 +120,19 @@
         job: JobDefinition,
         item: ItemDefinition,
         rank: tuple[float, ...],
-        find_route: RouteFinder,
-        splitter: TrafficSplitter,
-        dispatcher: Dispatcher,
-        client: GenerationClient,
+        parts: RunParts,
         kept: PartialText,
         is_long: bool = False,
     ) -> None:
         self.job = job
         self.item = item
         self._rank = rank
-        self._find_route = find_route
-        self._splitter = splitter
-        self._dispatcher = dispatcher
-        self._client = client
+        self._find_route = parts.find_route
+        self._splitter = parts.splitter
+        self._dispatcher = parts.dispatcher
+        self._client = parts.client
+        self._guard = parts.guard
+        self._trial = parts.guard.begin(_subject(job, item), DEFAULT_MOST_ENDS_OF_ITEM)
         self.kept = kept
         self._is_expected_long = is_long
         self._created_at = time.monotonic()
@@ -127,6 +151,7 @@
         try:
             return await self._run()
         finally:
+            self._trial.abandon()
             unused = self._end_wish()
             if unused is not None:
                 self._dispatcher.release(unused, self.item.id)
@@ -134,6 +159,10 @@
     async def _run(self) -> ItemResult:
         reserved: BackEnd | None = None
         while True:
+            if reserved is not None and not self._trial.is_admitted():
+                self._dispatcher.release(reserved, self.item.id)
+                reserved = None
+            await self._trial.wait_admitted()
             async with routed_place(
                 self._dispatcher,
                 self._splitter,
@@ -204,7 +233,8 @@
         self._single_version = route.single_version
         self._log("item_sent", back_end, f"load {back_end.expected_load(time.monotonic())}")
         try:
-            await self._generate(back_end)
+            with self._trial.sending() as send:
+                await self._send(back_end, send)
         except AttemptNotRun as refusal:
             pause = LOADING_PAUSE_SECONDS if refusal.had_room else FULL_PAUSE_SECONDS
             back_end.was_full(pause)
@@ -217,6 +247,7 @@
             back_end.failed()
             self._avoided = back_end.record.id
             self._log("item_broken", back_end, failure.reason)
+            self._trial.report_if_held()
             await asyncio.sleep(BROKEN_PAUSE_SECONDS)
             return None
         except _MoveAway:
@@ -236,6 +267,19 @@
         self.kept.whole = True
         return whole_result(self.item, self.kept)
 
+    async def _send(self, back_end: BackEnd, send: Send) -> None:
+        """Generate, and note for the trial what came of it."""
+        try:
+            await self._generate(back_end)
+        except AttemptNotRun as refusal:
+            send.was_not_run = True
+            self._guard.turned_away(back_end, refusal)
+            raise
+        except AttemptBroken as failure:
+            send.ended_id = await self._guard.ended_id(back_end, failure)
+            raise
+        send.was_answered = True
+
     def _given_up(self) -> ItemResult:
         return ItemResult(self.item.id, False)
 
@@ -293,6 +337,7 @@
             self.kept.clear()
             raise AttemptBroken("made by two versions")
         self.kept.take(event)
+        self._trial.progressed()
 
     def _move_if_slow(self, back_end: BackEnd) -> None:
         now = time.monotonic()
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -19,9 +19,13 @@
 from crankseam.jobs.model import ItemDefinition, JobDefinition, ScoringRequest
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_place import routed_place
+from crankseam.quarantine.crash_guard import CrashGuard
+from crankseam.quarantine.model import DEFAULT_MOST_ENDS, TrialSubject
+from crankseam.quarantine.trial import Send
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
 from crankseam.serving.routes import Route, TrafficSplitter
+from crankseam.serving.tenants import NO_TENANT
 
 log = logging.getLogger(__name__)
 
@@ -54,6 +58,10 @@
         """
 
 
+def _subject(request: ScoringRequest) -> TrialSubject:
+    return TrialSubject(request.id, NO_TENANT, "", "POST", request.host, request.path, request.body)
+
+
 class ItemScorer:
     """The scoring requests of one process's jobs.
 
@@ -61,6 +69,7 @@
     ==========
 
     find_route : the route of a scoring request in the newest configuration.
+    guard : holds back scoring requests under which back ends ended.
     """
 
     def __init__(
@@ -69,9 +78,11 @@
         client: ScoringClient,
         find_route: ScoringRouteFinder,
         splitter: TrafficSplitter,
+        guard: CrashGuard,
     ) -> None:
         self._dispatcher = dispatcher
         self._client = client
+        self._guard = guard
         self._find_route = find_route
         self._splitter = splitter
 
@@ -91,8 +102,21 @@
         job_attempts : failures that the route of the job allows; the route of the scoring request
             may allow more.
         """
-        run = _ScoringRun(self._client, job, item, request)
+        run = _ScoringRun(self._client, self._guard, job, item, request)
+        try:
+            return await self._try_until_scored(run, request, rank, job_attempts)
+        finally:
+            run.trial.abandon()
+
+    async def _try_until_scored(
+        self,
+        run: _ScoringRun,
+        request: ScoringRequest,
+        rank: tuple[float, ...],
+        job_attempts: int,
+    ) -> str | None:
         while True:
+            await run.trial.wait_admitted()
             async with routed_place(
                 self._dispatcher,
                 self._splitter,
@@ -113,11 +137,14 @@
     def __init__(
         self,
         client: ScoringClient,
+        guard: CrashGuard,
         job: JobDefinition,
         item: ItemDefinition,
         request: ScoringRequest,
     ) -> None:
         self._client = client
+        self._guard = guard
+        self.trial = guard.begin(_subject(request), DEFAULT_MOST_ENDS)
         self._job = job
         self._item = item
         self._request = request
@@ -135,8 +162,8 @@
         self._log("scoring_sent", back_end, f"patience {patience_s:.2f} s")
         try:
             async with asyncio.timeout(patience_s):
-                deadline = time.monotonic() + patience_s
-                score = await self._client.score(back_end, self._request, deadline)
+                with self.trial.sending() as send:
+                    score = await self._send(back_end, time.monotonic() + patience_s, send)
         except AttemptNotRun as refusal:
             back_end.was_full(TURNED_AWAY_PAUSE_S)
             if refusal.wrong_instance:
@@ -146,6 +173,7 @@
         except AttemptBroken as failure:
             back_end.failed()
             self._log("scoring_broken", back_end, failure.reason)
+            self.trial.report_if_held()
             return None
         except TimeoutError:
             self._silences += 1
@@ -160,6 +188,20 @@
         self._log("scoring_done", back_end, score)
         return score
 
+    async def _send(self, back_end: BackEnd, deadline: float, send: Send) -> str:
+        """Ask once, and note for the trial what came of it."""
+        try:
+            score = await self._client.score(back_end, self._request, deadline)
+        except AttemptNotRun as refusal:
+            send.was_not_run = True
+            self._guard.turned_away(back_end, refusal)
+            raise
+        except AttemptBroken as failure:
+            send.ended_id = await self._guard.ended_id(back_end, failure)
+            raise
+        send.was_answered = True
+        return score
+
     def may_give_up(self, most_failures: int, back_end: BackEnd) -> bool:
         """Whether the request failed as often as the routes allow."""
         if self._failures < most_failures:
--- /dev/null
+++ b/src/crankseam/quarantine/crash_guard.py
@@ -0,0 +1,39 @@
+"""What every way of sending work to back ends asks of the quarantine."""
+
+from __future__ import annotations
+
+from crankseam.quarantine.model import TrialSubject
+from crankseam.quarantine.quarantine import Quarantine
+from crankseam.quarantine.trial import Trial
+from crankseam.serving.back_ends import BackEnd
+from crankseam.serving.ended_back_ends import EndedBackEnds
+from crankseam.serving.messages import AttemptBroken, AttemptNotRun
+
+
+class CrashGuard:
+    """Trials of requests, and which back ends ended under them.
+
+    Parameters
+    ==========
+
+    ends : tells a back end that ended from one whose connection broke.
+    """
+
+    def __init__(self, quarantine: Quarantine, ends: EndedBackEnds) -> None:
+        self._quarantine = quarantine
+        self._ends = ends
+
+    def begin(self, subject: TrialSubject, most_ends: int) -> Trial:
+        """The trial of a request that is about to be sent."""
+        return self._quarantine.begin(subject, most_ends)
+
+    async def ended_id(self, back_end: BackEnd, failure: AttemptBroken) -> str:
+        """The id of a back end that ended under an attempt; empty if it did not."""
+        if not failure.lost_connection or not await self._ends.has_ended(back_end):
+            return ""
+        return back_end.record.id
+
+    def turned_away(self, back_end: BackEnd, refusal: AttemptNotRun) -> None:
+        """A back end did not run a request: perhaps another one stands at its address."""
+        if refusal.wrong_instance:
+            self._ends.found_another(back_end)
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -5,14 +5,16 @@
 import asyncio
 import logging
 import time
-from collections.abc import Callable
-from dataclasses import dataclass, field
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from dataclasses import dataclass, field, replace
 
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from crankseam.errors import OutcomeUnknown, Problem, Unavailable
-from crankseam.quarantine.fingerprint import request_fingerprint
+from crankseam.quarantine.crash_guard import CrashGuard
+from crankseam.quarantine.model import TrialSubject, default_most_ends
+from crankseam.quarantine.trial import Send, Trial
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry, choose
-from crankseam.serving.ended_back_ends import EndedBackEnds
 from crankseam.serving.messages import (
     Answer,
     AttemptBroken,
@@ -40,6 +42,7 @@
 class _Progress:
     """What happened to one request so far."""
 
+    trial: Trial
     tried: set[str] = field(default_factory=set)
     may_have_run: int = 0
     turned_away: int = 0
@@ -47,15 +50,13 @@
     reasons: list[str] = field(default_factory=list)
     began_at: float | None = None
     """Steady time at which it was sent to the first back end that may have run it."""
-    ended: list[str] = field(default_factory=list)
-    """Back ends that ended while they may have run it."""
 
 
 class Forwarder:
     """Forwards requests of one process.
 
     Args:
-        ends: tells a back end that ended from one whose connection broke.
+        guard: holds back requests under which back ends ended.
         zone: where this process runs; back ends there are preferred between equals.
         on_begun: called once for each request that may have begun to run, with its tenant and the
             steady time at which it did.
@@ -65,14 +66,14 @@
         self,
         registry: BackEndRegistry,
         client: BackEndClient,
-        ends: EndedBackEnds,
+        guard: CrashGuard,
         zone: str,
         on_begun: Callable[[str, float], None] | None = None,
     ) -> None:
         self._on_begun = on_begun
         self._registry = registry
         self._client = client
-        self._ends = ends
+        self._guard = guard
         self._zone = zone
         self._splitter = TrafficSplitter()
 
@@ -84,7 +85,10 @@
         """
         service = self._splitter.pick(route)
         end = min(request.deadline, request.received_at + route.timeout) - ANSWER_MARGIN_SECONDS
-        progress = _Progress()
+        trial = self._guard.begin(_subject(request, route), default_most_ends(route.kind))
+        await trial.admit()
+        progress = _Progress(trial)
+        answer: Answer | StreamingAnswer | None = None
         try:
             async with asyncio.timeout_at(
                 asyncio.get_running_loop().time() + end - time.monotonic()
@@ -95,6 +99,8 @@
             by_route = request.received_at + route.timeout <= request.deadline
             progress.reasons.append("route's timeout" if by_route else "caller's deadline")
         finally:
+            if not isinstance(answer, StreamingAnswer):
+                trial.close()
             if progress.began_at is not None and self._on_begun is not None:
                 self._on_begun(request.tenant, progress.began_at)
         if answer is None:
@@ -109,8 +115,8 @@
                 "status": answer.status if answer is not None else None,
                 "attempts": sorted(progress.tried),
                 "reasons": progress.reasons,
-                "ended": progress.ended,
-                "fingerprint": request_fingerprint(request) if progress.ended else "",
+                "ended": trial.ended,
+                "fingerprint": trial.subject.fingerprint if trial.ended else "",
                 "seconds": round(time.monotonic() - request.received_at, 4),
             },
         )
@@ -136,7 +142,7 @@
         while True:
             if progress.may_have_run >= (route.max_attempts if repeatable else 1):
                 return None
-            if progress.turned_away >= MAX_TURNED_AWAY:
+            if progress.turned_away >= MAX_TURNED_AWAY or not progress.trial.may_send():
                 return None
             first = self._choose(service, progress)
             if first is None:
@@ -172,7 +178,8 @@
         try:
             patience = route.target_latency * HEDGE_TARGET_SHARE
             done, tasks = await asyncio.wait(tasks, timeout=patience)
-            if not done and progress.may_have_run < route.max_attempts:
+            may_hedge = progress.may_have_run < route.max_attempts and progress.trial.may_send()
+            if not done and may_hedge:
                 second = self._choose(service, progress)
                 if second is not None and second.record.id not in progress.tried:
                     log.info(
@@ -207,35 +214,79 @@
         back_end.in_flight += 1
         sent_at, ran = time.monotonic(), True
         try:
-            answer = await self._client.send(
-                back_end, request, end, route.kind is not RequestKind.REPEATABLE
-            )
+            with progress.trial.sending() as send:
+                answer = await self._send(request, route, back_end, end, send)
         except AttemptNotRun as refusal:
             ran = False
             progress.may_have_run -= 1
             progress.turned_away += 1
             progress.reasons.append(f"{back_end.record.id}: {refusal.reason}")
             back_end.was_full()
+            self._guard.turned_away(back_end, refusal)
             if refusal.wrong_instance:
                 back_end.failed()
-                self._ends.found_another(back_end)
             return None
         except AttemptBroken as failure:
             progress.reasons.append(f"{back_end.record.id}: {failure.reason}")
             back_end.failed()
-            if await self._ends.has_ended(back_end):
-                progress.ended.append(back_end.record.id)
             return None
         finally:
             back_end.in_flight -= 1
             if ran:
                 began_at = progress.began_at if progress.began_at is not None else sent_at
                 progress.began_at = min(sent_at, began_at)
+        if isinstance(answer, StreamingAnswer):
+            back_end.succeeded()
+            return replace(answer, chunks=self._watched(answer, back_end, progress.trial))
         if answer.status >= SERVER_ERROR and route.kind is RequestKind.REPEATABLE:
-            assert isinstance(answer, Answer)
             progress.reasons.append(f"{back_end.record.id}: status {answer.status}")
             progress.last_failure = answer
             back_end.failed()
             return None
         back_end.succeeded()
         return answer
+
+    async def _send(
+        self, request: InboundRequest, route: Route, back_end: BackEnd, end: float, send: Send
+    ) -> Answer | StreamingAnswer:
+        """Send it once, and note for its trial what came of it."""
+        relay = route.kind is not RequestKind.REPEATABLE
+        try:
+            answer = await self._client.send(back_end, request, end, relay)
+        except AttemptNotRun:
+            send.was_not_run = True
+            raise
+        except AttemptBroken as failure:
+            send.ended_id = await self._guard.ended_id(back_end, failure)
+            raise
+        send.was_answered = isinstance(answer, Answer) and answer.status < SERVER_ERROR
+        return answer
+
+    async def _watched(
+        self, answer: StreamingAnswer, back_end: BackEnd, trial: Trial
+    ) -> AsyncGenerator[bytes, None]:
+        """An answer's body as it comes; its back end may end before it is whole."""
+        try:
+            with trial.sending() as send:
+                async with aclosing(answer.chunks) as chunks:
+                    try:
+                        async for chunk in chunks:
+                            yield chunk
+                    except AttemptBroken as failure:
+                        send.ended_id = await self._guard.ended_id(back_end, failure)
+                        raise
+                send.was_answered = answer.status < SERVER_ERROR
+        finally:
+            trial.close()
+
+
+def _subject(request: InboundRequest, route: Route) -> TrialSubject:
+    return TrialSubject(
+        request.id,
+        request.tenant,
+        route.name,
+        request.method,
+        request.host,
+        request.target,
+        request.body,
+    )
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -94,6 +94,36 @@
     "request_refused": LogEvent(
         "The process answered by itself.", ("request", "status", "problem", "detail")
     ),
+    "request_held": LogEvent(
+        "Back ends ended under this request before; it is sent to nobody for so long.",
+        ("request", "fingerprint", "ended", "probes", "seconds"),
+    ),
+    "item_held": LogEvent(
+        "The same for an item or its scoring request; it waits.",
+        ("item", "fingerprint", "ended", "probes"),
+    ),
+    "suspect_stored": LogEvent(
+        "Back ends ended under a request: all processes know it now.",
+        ("fingerprint", "route", "tenant", "ended", "probes"),
+    ),
+    "suspect_not_stored": LogEvent(
+        "The store did not take a suspect; peers are told, and it is tried again.",
+        ("fingerprint", "error"),
+    ),
+    "suspect_probed": LogEvent(
+        "A request that was held back is tried once.",
+        ("request", "fingerprint", "probes", "ended"),
+    ),
+    "suspect_released": LogEvent(
+        "A request is no suspect any more: a back end answered it, its time is over, or an"
+        " operator says so.",
+        ("fingerprint", "cause"),
+    ),
+    "suspect_not_removed": LogEvent(
+        "Removing a suspect from the store failed; tried again.", ("fingerprint", "error")
+    ),
+    "suspect_malformed": LogEvent("A suspect's entry can't be read; skipped.", ("key", "detail")),
+    "peer_not_told": LogEvent("A process could not be told of suspects.", ("peer", "error")),
     "stream_broken": LogEvent("A stream was cut in the middle.", ("request", "reason")),
     # --- jobs
     "job_accepted": LogEvent(
--- a/src/crankseam/serving/messages.py
+++ b/src/crankseam/serving/messages.py
@@ -71,6 +71,8 @@
     """The attempt gave no whole answer; the request may have run."""
 
     reason: str
+    lost_connection: bool = False
+    """Whether its connection broke: the back end may have ended."""
 
 
 class BackEndClient(Protocol):
--- a/tests/jobs/factories.py
+++ b/tests/jobs/factories.py
@@ -3,11 +3,13 @@
 import asyncio
 
 from crankseam.jobs.item_maker import ItemMaker
-from crankseam.jobs.model import GeneratedEvent, ItemDefinition, JobDefinition
+from crankseam.jobs.item_run import ItemRun, RunParts
+from crankseam.jobs.model import GeneratedEvent, ItemDefinition, JobDefinition, PartialText
 from crankseam.jobs.scoring import ItemScorer
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
 from crankseam.serving.messages import AttemptBroken
 from crankseam.serving.routes import RequestKind, Route, Share, TrafficSplitter
+from tests.quarantine.factories import make_guard
 
 
 def make_job(job_id="j1", items=3, min_version=0):
@@ -100,10 +102,24 @@
 def make_maker(dispatcher, samplers, scorers=None, find_route=lambda job: make_route()):
     """An ItemMaker whose scoring requests go to the samplers' service."""
     splitter = TrafficSplitter()
+    guard = make_guard(make_registry())
     scorer = ItemScorer(
-        dispatcher, scorers or ScriptedScorers(), lambda request: make_route(), splitter
+        dispatcher, scorers or ScriptedScorers(), lambda request: make_route(), splitter, guard
     )
-    return ItemMaker(dispatcher, samplers, find_route, splitter, scorer)
+    return ItemMaker(RunParts(dispatcher, samplers, find_route, splitter, guard), scorer)
+
+
+def make_run(dispatcher, samplers, route=None, kept=None, job=None, guard=None):
+    """A run of a job's first item."""
+    job = job or make_job()
+    parts = RunParts(
+        dispatcher,
+        samplers,
+        lambda job: route or make_route(),
+        TrafficSplitter(),
+        guard or make_guard(make_registry()),
+    )
+    return ItemRun(job, job.items[0], (0.0,), parts, kept or PartialText())
 
 
 def events(first, last, version=1):
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -6,12 +6,10 @@
 from crankseam.jobs import item_run
 from crankseam.jobs.dispatcher import Dispatcher, MoveNeed
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
-from crankseam.jobs.item_run import ItemRun
 from crankseam.jobs.model import PartialText
 from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.messages import AttemptNotRun
 from crankseam.serving.paces import SamplerPaces
-from crankseam.serving.routes import TrafficSplitter
 from tests.jobs.factories import (
     BROKEN,
     ScriptedSamplers,
@@ -19,6 +17,7 @@
     make_job,
     make_registry,
     make_route,
+    make_run,
 )
 from tests.support.waiting import eventually
 
@@ -32,18 +31,7 @@
     registry = registry or make_registry()
     dispatcher = Dispatcher(registry, "z", paces)
     task = asyncio.create_task(dispatcher.run())
-    job = make_job(min_version=min_version)
-    route = route or make_route()
-    run = ItemRun(
-        job,
-        job.items[0],
-        (0.0,),
-        lambda job: route,
-        TrafficSplitter(),
-        dispatcher,
-        samplers,
-        kept or PartialText(),
-    )
+    run = make_run(dispatcher, samplers, route, kept, make_job(min_version=min_version))
     try:
         async with asyncio.timeout(20):
             return await run.run()
@@ -187,11 +175,7 @@
     task = asyncio.create_task(dispatcher.run())
     long_one = [step for event in events(1, 40) for step in (event, 0.01)]
     samplers.scripts = [long_one, events(30, 31)]
-    job = make_job()
-    run = ItemRun(
-        job, job.items[0], (0.0,), lambda job: make_route(), TrafficSplitter(), dispatcher,
-        samplers, PartialText(),
-    )  # fmt: skip
+    run = make_run(dispatcher, samplers)
     running = asyncio.create_task(run.run())
     try:
         await eventually(lambda: len(run.kept.events) > 14)
@@ -238,11 +222,7 @@
     """Like run_item, beside runs of others that stay."""
     dispatcher = Dispatcher(registry, "z")
     task = asyncio.create_task(dispatcher.run())
-    job = make_job()
-    run = ItemRun(
-        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
-        PartialText(),
-    )  # fmt: skip
+    run = make_run(dispatcher, samplers, route)
     try:
         async with asyncio.timeout(20):
             return await run.run()
@@ -258,11 +238,8 @@
     samplers.scripts = [events(1, 2, 2)]
     dispatcher = Dispatcher(registry, "z")
     task = asyncio.create_task(dispatcher.run())
-    job, route = make_job(), make_route(single_version=True)
-    run = ItemRun(
-        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
-        PartialText(["old"], [1]),
-    )  # fmt: skip
+    route = make_route(single_version=True)
+    run = make_run(dispatcher, samplers, route, PartialText(["old"], [1]))
     running = asyncio.create_task(run.run())
     try:
         await asyncio.sleep(0.1)
@@ -285,11 +262,7 @@
     samplers.scripts = [[*events(1, 3, 1), 0.1, *events(4, 5, 1)]]
     dispatcher = Dispatcher(registry, "z")
     task = asyncio.create_task(dispatcher.run())
-    job, route = make_job(), make_route(single_version=True)
-    run = ItemRun(
-        job, job.items[0], (0.0,), lambda job: route, TrafficSplitter(), dispatcher, samplers,
-        PartialText(),
-    )  # fmt: skip
+    run = make_run(dispatcher, samplers, make_route(single_version=True))
     running = asyncio.create_task(run.run())
     try:
         await eventually(lambda: len(run.kept.events) == 3)
