--- a/src/crankseam/quarantine/publisher.py
+++ b/src/crankseam/quarantine/publisher.py
@@ -22,6 +22,10 @@
 RETRY_BASE_S = 0.2
 RETRY_CAP_S = 2.0
 
+MOST_DROPPED = 16
+"""So many that gave way are removed by one write; with more, the oldest stay until their time is
+over."""
+
 PeerTeller = Callable[[bytes], Awaitable[None]]
 """Sends bytes to all other processes; one that can't be reached is left out."""
 
@@ -44,11 +48,14 @@
         self._waiting: dict[str, SuspectRecord] = {}
         self._told: dict[str, SuspectRecord] = {}
         """What peers were told and the store has not taken, by fingerprint."""
+        self._dropped: list[str] = []
+        """Fingerprints that gave way to others and are to leave the store."""
         self._wake = asyncio.Event()
 
     def publish(self, fingerprint: str, record: SuspectRecord) -> None:
         """Make ends known; at once here, soon everywhere."""
-        self._table.take_told(fingerprint, record)
+        self._dropped += self._table.take_told(fingerprint, record)
+        del self._dropped[:-MOST_DROPPED]
         known = self._waiting.get(fingerprint)
         self._waiting[fingerprint] = record if known is None else known.with_ended(record.ended)
         while len(self._waiting) > MOST_SUSPECTS:
@@ -94,10 +101,9 @@
         revision = known.revision if known is not None else ABSENT
         if known is not None and revision != ABSENT:
             record = known.record.with_ended(record.ended)
-        dropped = []
-        if known is None and len(self._table) >= MOST_SUSPECTS:
-            dropped = [self._table.least_needed()]
+        dropped = [one for one in self._dropped if one != fingerprint][:MOST_DROPPED]
         stored, revision = await self._store.add(fingerprint, record, revision, dropped)
+        self._dropped = [one for one in self._dropped if one not in dropped]
         self._table.take(fingerprint, stored, revision)
         log.info(
             "suspect_stored",
--- a/src/crankseam/quarantine/table.py
+++ b/src/crankseam/quarantine/table.py
@@ -18,6 +18,8 @@
 MOST_SUSPECTS = 1000
 """More are not remembered: some 300 bytes each. Those that are not held back go first, then those
 that changed longest ago."""
+TOLD_LONGEST_S = 60.0
+"""What a peer told and the store never took is forgotten after this: whoever told it is gone."""
 
 
 @dataclass(slots=True)
@@ -33,7 +35,7 @@
 
     record: SuspectRecord
     revision: int = ABSENT
-    changed_at: float = field(default_factory=time.monotonic)
+    changed_at: float = field(default_factory=lambda: time.monotonic())
 
     def held_for_s(self) -> float:
         """Seconds until it may be tried again."""
@@ -46,6 +48,8 @@
     def is_over(self) -> bool:
         """Whether it is remembered no longer."""
         kept_s = HELD_LONGEST_S if self.is_held() else SUSPECTED_S
+        if self.revision == ABSENT:
+            kept_s = TOLD_LONGEST_S
         return time.monotonic() - self.changed_at > kept_s
 
 
@@ -76,7 +80,11 @@
 
     def find(self, fingerprint: str) -> Suspect | None:
         """What is known of a request; None if it is no suspect."""
-        return self._suspects.get(fingerprint)
+        suspect = self._suspects.get(fingerprint)
+        if suspect is not None and suspect.revision == ABSENT and suspect.is_over():
+            self.remove(fingerprint)
+            return None
+        return suspect
 
     def take(self, fingerprint: str, record: SuspectRecord, revision: int) -> None:
         """Take what the store holds; ends that it has not taken yet stay."""
@@ -86,22 +94,33 @@
         elif known.revision < revision:
             self._put(fingerprint, Suspect(record.with_ended(known.record.ended), revision))
 
-    def take_told(self, fingerprint: str, record: SuspectRecord) -> None:
-        """Take what a peer told, or what was seen here, before the store has taken it."""
+    def take_told(self, fingerprint: str, record: SuspectRecord) -> list[str]:
+        """Take what a peer told, or what was seen here, before the store has taken it.
+
+        Returns
+        =======
+
+        Suspects that gave way, and that the store still holds.
+        """
         known = self._suspects.get(fingerprint)
         if known is None:
-            self._put(fingerprint, Suspect(record))
-            return
+            return self._put(fingerprint, Suspect(record))
         merged = known.record.with_ended(record.ended)
         if merged != known.record:
             self._put(fingerprint, Suspect(merged, known.revision))
+        return []
 
-    def _put(self, fingerprint: str, suspect: Suspect) -> None:
+    def _put(self, fingerprint: str, suspect: Suspect) -> list[str]:
         self.remove(fingerprint)
+        dropped: list[str] = []
+        while len(self._suspects) >= MOST_SUSPECTS:
+            least_needed = self._least_needed()
+            if self._suspects[least_needed].revision != ABSENT:
+                dropped.append(least_needed)
+            self.remove(least_needed)
         self._suspects[fingerprint] = suspect
         self._lengths[suspect.record.body_bytes] += 1
-        while len(self._suspects) > MOST_SUSPECTS:
-            self.remove(self.least_needed())
+        return dropped
 
     def remove(self, fingerprint: str) -> None:
         """Forget one."""
@@ -113,7 +132,7 @@
         if not self._lengths[length]:
             del self._lengths[length]
 
-    def least_needed(self) -> str:
+    def _least_needed(self) -> str:
         """The one that is forgotten first."""
         return min(
             self._suspects,
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -18,6 +18,9 @@
 AVOID_CAP_SECONDS = 3.0
 """After failures in a row a back end is avoided for a time that doubles up to this."""
 FULL_AVOID_SECONDS = 0.05
+ENDED_AVOID_SECONDS = 5.0
+"""Discovery drops a silent back end after some three heartbeats; one that was taken as ended by
+mistake is tried again after this."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -82,6 +85,7 @@
 
     def succeeded(self) -> None:
         """An answer came as it should."""
+        self.has_ended = False
         self.failures = 0
         self.avoid_until = float("-inf")
 
@@ -96,6 +100,11 @@
         pause = min(AVOID_CAP_SECONDS, AVOID_BASE_SECONDS * 2.0 ** (self.failures - 1))
         self.avoid_until = max(self.avoid_until, time.monotonic() + pause)
 
+    def ended(self) -> None:
+        """It ended without having said so: discovery shows it a while longer."""
+        self.has_ended = True
+        self.avoid_until = max(self.avoid_until, time.monotonic() + ENDED_AVOID_SECONDS)
+
     def was_full(self, pause: float = FULL_AVOID_SECONDS) -> None:
         """The back end turned a request away without running it."""
         self.avoid_until = max(self.avoid_until, time.monotonic() + pause)
--- a/src/crankseam/serving/ended_back_ends.py
+++ b/src/crankseam/serving/ended_back_ends.py
@@ -68,7 +68,7 @@
             self._found(back_end, ADDRESS_IS_ANOTHERS)
 
     def _found(self, back_end: BackEnd, evidence: str) -> None:
-        back_end.has_ended = True
+        back_end.ended()
         log.warning(
             "back_end_ended",
             extra={
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -5,6 +5,7 @@
 import itertools
 import random
 
+import aiohttp
 import pytest
 from crankseam_platform_standins.reviving_sampler import RevivingSampler
 from crankseam_platform_standins.sampler_server import SamplerServer
@@ -133,3 +134,108 @@
         await eventually(lambda: len(running.deadly_runs()) >= 2, "the scoring request is sent")
         await asyncio.sleep(CONTACT_S + RETURNS * RETURN_S)
         assert len(running.late_runs()) <= MOST_LATE
+
+
+async def known_to_all(crashes, ends=2):
+    await eventually(
+        lambda: all(
+            any(len(one.record.ended) >= ends for _, one in front.quarantine.table)
+            for front in crashes.fronts
+        ),
+        "all fronts know the request",
+    )
+
+
+async def hold(crashes, path="/safe/x"):
+    """Bring it until every front holds it back."""
+    while not any(front.quarantine.table.held_count() for front in crashes.fronts):
+        await crashes.send_deadly(crashes.fronts[0], path)
+        await asyncio.sleep(RETURN_S)
+    await known_to_all(crashes)
+
+
+async def test_who_brings_it_again_is_told_that_it_was_not_run_and_when_to_come_back(crashes):
+    await hold(crashes)
+    runs = len(crashes.deadly_runs())
+    status, headers, body = await crashes.send_deadly(crashes.fronts[3])
+    assert status == 503 and 0 < float(headers["Retry-After"]) <= 3.0
+    assert b"request-held" in body and b'"not_run"' in body
+    assert len(crashes.deadly_runs()) == runs
+
+
+async def test_the_first_attempt_leaves_one_of_three_samplers(crashes):
+    status, _, _ = await crashes.send_deadly(crashes.fronts[0])
+    assert status == 504, "it may have run"
+    assert len(crashes.deadly_runs()) == 2
+    status, _, body = await crashes.ask(crashes.fronts[1], "/safe/y", b"healthy")
+    assert (status, body) == (200, b"echo:healthy")
+
+
+async def test_fronts_that_start_after_all_were_killed_hold_it_back(crashes):
+    await hold(crashes)
+    for front in crashes.fronts:
+        await front.supervisor.stop()
+    runs = len(crashes.deadly_runs())
+    front = await crashes.start_front("front-9")
+    status, _, _ = await crashes.send_deadly(front)
+    assert status == 503 and len(crashes.deadly_runs()) == runs
+
+
+async def test_while_the_store_is_away_the_fronts_tell_each_other(crashes):
+    crashes.store.faults.down = True
+    await crashes.send_deadly(crashes.fronts[0])
+    await known_to_all(crashes)
+    runs = len(crashes.deadly_runs())
+    for front in crashes.fronts:
+        status, _, _ = await crashes.send_deadly(front)
+        assert status == 503
+    assert len(crashes.deadly_runs()) == runs == 2
+
+
+async def test_a_stream_whose_sampler_ends_is_counted(crashes):
+    for sampler in (one.incarnations[0] for one in crashes.revived):
+        sampler.faults.ends_after, sampler.length = 0.2, 100
+        sampler.faults.ends_beside = True
+    for number in range(2):
+        request = crashes.session.post(
+            crashes.url(crashes.fronts[0], "/stream/x"),
+            data=DEADLY,
+            headers={"Host": "app.example", "Request-Id": f"s{number}", "Model": "m"},
+        )
+        with pytest.raises(aiohttp.ClientPayloadError):
+            async with request as response:
+                assert response.status == 200
+                await response.read()
+        await known_to_all(crashes, number + 1)
+    assert (await crashes.send_deadly(crashes.fronts[1], "/stream/x"))[0] == 503
+
+
+async def test_a_healthy_request_that_two_ends_broke_is_served_after_its_hold(crashes):
+    """Its samplers end for another reason; it comes back to fronts that hold it back."""
+    body = b"healthy"
+    for sampler in (one.incarnations[0] for one in crashes.revived):
+        sampler.faults.ended_by = body
+    await crashes.ask(crashes.fronts[0], "/safe/x", body)
+    await known_to_all(crashes)
+    for revived in crashes.revived:
+        for sampler in revived.incarnations:
+            sampler.faults.ended_by = DEADLY
+
+    async def is_served():
+        return (await crashes.ask(crashes.fronts[1], "/safe/x", body))[0] == 200
+
+    async with asyncio.timeout(10):
+        while not await is_served():
+            await asyncio.sleep(RETURN_S)
+    await eventually(lambda: not any(len(front.quarantine.table) for front in crashes.fronts))
+
+
+async def test_a_calm_day_costs_nothing(crashes):
+    crashes.revived[0].incarnations[0].faults.reset_before_answer = 5
+    for number in range(20):
+        status, _, _ = await crashes.ask(
+            crashes.fronts[number % 4], "/safe/x", request_id=f"calm-{number}"
+        )
+        assert status == 200
+    assert not any(len(front.quarantine.table) for front in crashes.fronts)
+    assert not [key for key in crashes.store.entries if "suspect" in key]
--- a/tests/quarantine/factories.py
+++ b/tests/quarantine/factories.py
@@ -2,13 +2,17 @@
 
 import asyncio
 
+from crankseam.coordination.follower import PrefixFollower
 from crankseam.quarantine.crash_guard import CrashGuard
+from crankseam.quarantine.model import TrialSubject
 from crankseam.quarantine.parts import make_quarantine
 from crankseam.serving.ended_back_ends import EndedBackEnds
 from crankseam.serving.supervisor import Supervisor
 from crankseam_standins.memory_store import MemoryStore
+from tests.support.waiting import eventually
 
 STATE = "state/"
+WATCH_S = 0.2
 
 
 class ScriptedAddresses:
@@ -30,3 +34,51 @@
     """A guard whose quarantine nobody else shares; nothing of it runs in the background."""
     parts = make_quarantine(store or MemoryStore(), STATE, tell_nobody, Supervisor())
     return CrashGuard(parts.quarantine, EndedBackEnds(registry, addresses or ScriptedAddresses()))
+
+
+def make_subject(body=b"body", request_id="r1", tenant="t"):
+    return TrialSubject(request_id, tenant, "route", "POST", "host", "/p", body)
+
+
+class Process:
+    """One process's quarantine, on a store that it shares with others."""
+
+    def __init__(self, store, others=()):
+        self.supervisor = Supervisor()
+        self.state = PrefixFollower(store, STATE, lambda key, entry: None, WATCH_S)
+        self.peers = list(others)
+        self.told = 0
+        parts = make_quarantine(store, STATE, self._tell, self.supervisor)
+        self.table, self.publisher, self.quarantine = parts.table, parts.publisher, parts.quarantine
+        parts.follow(self.state)
+        parts.start(self.supervisor)
+        self.supervisor.keep(self.state.run, "follow")
+
+    async def _tell(self, raw):
+        self.told += 1
+        for peer in self.peers:
+            await peer.publisher.serve(raw)
+
+    def trial(self, subject=None, most_ends=2):
+        return self.quarantine.begin(subject or make_subject(), most_ends)
+
+    def knows(self, subject=None, ends=1):
+        found = self.table.find((subject or make_subject()).fingerprint)
+        return found is not None and len(found.record.ended) >= ends
+
+    async def ready(self):
+        await self.state.wait_synchronized()
+        return self
+
+    async def stop(self):
+        await self.supervisor.stop()
+
+
+async def known_everywhere(processes, subject=None, ends=1):
+    await eventually(lambda: all(one.knows(subject, ends) for one in processes), "known")
+
+
+def send(trial, ended="", answered=False, not_run=False):
+    """One send of a trial, with what came of it."""
+    with trial.sending() as sent:
+        sent.ended_id, sent.was_answered, sent.was_not_run = ended, answered, not_run
--- /dev/null
+++ b/tests/quarantine/test_publisher.py
@@ -0,0 +1,104 @@
+import pytest
+
+from crankseam.coordination.interface import Put, Transaction
+from crankseam.quarantine.model import SuspectRecord
+from crankseam.quarantine.suspect_store import SuspectMalformed, SuspectStore, decode_suspect
+from crankseam_standins.memory_store import MemoryStore
+from tests.quarantine.factories import STATE, Process, known_everywhere, make_subject, send
+from tests.support.waiting import eventually
+
+FINGERPRINT = make_subject().fingerprint
+
+
+@pytest.fixture
+async def pair():
+    store = MemoryStore()
+    made = [Process(store), Process(store)]
+    made[0].peers = [made[1]]
+    for one in made:
+        one.store = store
+        await one.ready()
+    yield made
+    for one in made:
+        await one.stop()
+
+
+def end(process, back_end="b1"):
+    one = process.trial()
+    send(one, ended=back_end)
+    one.close()
+
+
+async def test_while_the_store_is_away_peers_are_told_once_and_it_is_stored_later(pair):
+    store = pair[0].store
+    store.faults.down = True
+    end(pair[0])
+    await eventually(lambda: pair[1].knows(), "told")
+    store.faults.down = False
+    await eventually(lambda: STATE + "suspect/" + FINGERPRINT in store.entries, "stored")
+    await eventually(lambda: pair[1].table.find(FINGERPRINT).revision > 0)
+    assert pair[0].told == 1
+
+
+async def test_while_the_store_answers_nobody_is_told(pair):
+    end(pair[0])
+    await known_everywhere(pair)
+    assert pair[0].told == 0
+
+
+@pytest.mark.parametrize("fault", ["lose_answers", "late"])
+async def test_a_write_without_an_answer_is_made_again_and_counts_once(pair, fault):
+    store = pair[0].store
+    setattr(store.faults, fault, 1)
+    end(pair[0])
+    await known_everywhere(pair)
+    store.release_late()
+    await eventually(lambda: STATE + "suspect/" + FINGERPRINT in store.entries)
+    record = decode_suspect(store.entries[STATE + "suspect/" + FINGERPRINT].value)
+    assert record.ended == ["b1"] and record.probes == 0
+
+
+async def test_ends_written_by_two_processes_at_once_are_all_kept(pair):
+    end(pair[0], "b1")
+    end(pair[1], "b2")
+    await known_everywhere(pair, ends=2)
+
+
+async def test_a_new_process_knows_what_those_before_it_wrote(pair):
+    end(pair[0], "b1")
+    end(pair[0], "b2")
+    await known_everywhere(pair, ends=2)
+    for one in pair:
+        await one.stop()
+    later = await Process(pair[0].store).ready()
+    assert later.knows(ends=2)
+    await later.stop()
+
+
+async def test_an_entry_that_cannot_be_read_is_skipped(pair):
+    store = pair[0].store
+    key = STATE + "suspect/odd"
+    store.force(Transaction(puts=[Put(key, b"\xc1")]))
+    end(pair[0])
+    await known_everywhere(pair)
+    assert pair[1].table.find("odd") is None
+    suspects = SuspectStore(store, STATE)
+    record, _ = await suspects.add("odd", SuspectRecord(["b1"]), 0, [])
+    assert record.ended == ["b1"]
+
+
+def test_what_is_no_record_has_an_error_of_its_own():
+    with pytest.raises(SuspectMalformed):
+        decode_suspect(b"\xc1")
+
+
+async def test_one_that_gives_way_leaves_the_store_too(pair, monkeypatch):
+    monkeypatch.setattr("crankseam.quarantine.table.MOST_SUSPECTS", 2)
+    subjects = [make_subject(body=bytes([number])) for number in range(4)]
+    for subject in subjects:
+        one = pair[0].trial(subject)
+        send(one, ended="b1")
+        one.close()
+        await known_everywhere(pair, subject)
+    keys = [key for key in pair[0].store.entries if "suspect" in key]
+    assert sorted(keys) == sorted(f"{STATE}suspect/{one.fingerprint}" for one in subjects[2:])
--- /dev/null
+++ b/tests/quarantine/test_trial.py
@@ -0,0 +1,193 @@
+import asyncio
+
+import pytest
+
+from crankseam.constants import OUTCOME_NOT_RUN
+from crankseam.errors import RequestHeld
+from crankseam.quarantine import model, trial
+from crankseam_standins.memory_store import MemoryStore
+from tests.quarantine.factories import Process, known_everywhere, make_subject, send
+from tests.support.waiting import eventually
+
+
+@pytest.fixture
+async def processes():
+    store = MemoryStore()
+    made = [Process(store) for _ in range(3)]
+    for one in made:
+        one.store = store
+        await one.ready()
+    yield made
+    for one in made:
+        await one.stop()
+
+
+@pytest.fixture
+def short_holds(monkeypatch):
+    monkeypatch.setattr(model, "FIRST_HOLD_S", 0.05)
+    monkeypatch.setattr(trial, "PROBE_RETRY_S", 0.05)
+
+
+async def hold(processes, subject=None, ends=("b1", "b2")):
+    """Let back ends end under a request, each at another process."""
+    for number, ended in enumerate(ends):
+        one = processes[number % len(processes)].trial(subject)
+        send(one, ended=ended)
+        one.close()
+    await known_everywhere(processes, subject, len(ends))
+
+
+async def test_ends_at_several_processes_count_together(processes):
+    first = processes[0].trial()
+    send(first, ended="b1")
+    assert first.may_send(), "a crash broke it: the second try serves a healthy one"
+    first.close()
+    await known_everywhere(processes)
+    second = processes[1].trial()
+    assert second.may_send()
+    send(second, ended="b2")
+    assert not second.may_send()
+    second.close()
+    await known_everywhere(processes, ends=2)
+    with pytest.raises(RequestHeld) as held:
+        await processes[2].trial().admit()
+    assert held.value.outcome == OUTCOME_NOT_RUN and 0 < held.value.retry_after <= 3.0
+
+
+async def test_the_same_end_told_twice_counts_once(processes):
+    await hold(processes, ends=("b1", "b1", "b1")[:1])
+    one = processes[1].trial()
+    send(one, ended="b1")
+    assert one.may_send()
+
+
+async def test_a_held_request_is_tried_by_one_process_at_a_time(processes, short_holds):
+    await hold(processes)
+    await asyncio.sleep(0.06)
+    trials = [one.trial() for one in processes]
+    results = await asyncio.gather(*(one.admit() for one in trials), return_exceptions=True)
+    assert [type(one) for one in results].count(RequestHeld) == 2
+    winner = trials[results.index(None)]
+    with winner.sending() as sent:
+        assert not winner.may_send(), "one back end at a time"
+        sent.ended_id = "b3"
+    assert not winner.may_send()
+    winner.close()
+    await known_everywhere(processes, ends=3)
+
+
+async def test_each_probe_makes_the_hold_longer_and_the_last_ends_it(processes, short_holds):
+    await hold(processes)
+    fingerprint = make_subject().fingerprint
+    holds = []
+    for number in range(model.MOST_PROBES):
+        suspect = processes[0].table.find(fingerprint)
+        holds.append(suspect.record.hold_s())
+        await eventually(lambda suspect=suspect: suspect.held_for_s() == 0.0)
+        probe = processes[0].trial()
+        await probe.admit()
+        send(probe, ended=f"p{number}")
+        probe.close()
+        ends, probes = 3 + number, number + 1
+        await eventually(
+            lambda ends=ends, probes=probes: all(
+                one.knows(ends=ends) and one.table.find(fingerprint).record.probes == probes
+                for one in processes
+            )
+        )
+    assert holds == [0.05, 0.2, 0.8]
+    assert processes[1].table.find(fingerprint).held_for_s() > 1000.0
+
+
+async def test_a_whole_answer_frees_it_everywhere(processes, short_holds):
+    await hold(processes)
+    await asyncio.sleep(0.06)
+    probe = processes[2].trial()
+    await probe.admit()
+    send(probe, answered=True)
+    probe.close()
+    await eventually(lambda: not any(len(one.table) for one in processes), "freed")
+    assert not [key for key in processes[0].store.entries if "suspect" in key]
+
+
+async def test_a_run_that_began_before_it_was_held_frees_it_too(processes):
+    running = processes[2].trial()
+    with running.sending() as sent:
+        await hold(processes)
+        sent.was_answered = True
+    await eventually(lambda: not any(len(one.table) for one in processes), "freed")
+
+
+async def test_a_probe_that_no_back_end_ran_does_not_count(processes, short_holds):
+    await hold(processes)
+    await asyncio.sleep(0.06)
+    probe = processes[0].trial()
+    await probe.admit()
+    send(probe, not_run=True)
+    probe.close()
+    fingerprint = make_subject().fingerprint
+    await eventually(lambda: processes[1].table.find(fingerprint).record.probes == 0)
+
+
+async def test_without_the_store_nothing_is_tried_again(processes, short_holds):
+    await hold(processes)
+    processes[0].store.faults.down = True
+    await asyncio.sleep(0.06)
+    with pytest.raises(RequestHeld):
+        await processes[0].trial().admit()
+
+
+async def test_a_second_send_beside_one_counts_as_an_end_that_may_come(processes):
+    one = processes[0].trial()
+    with one.sending():
+        assert one.may_send()
+        with one.sending():
+            assert not one.may_send()
+    send(one, ended="b1")
+    with one.sending():
+        assert not one.may_send()
+
+
+async def test_a_send_that_is_cancelled_counts_no_more(processes):
+    one = processes[0].trial()
+    with pytest.raises(asyncio.CancelledError), one.sending():
+        raise asyncio.CancelledError
+    with one.sending():
+        assert one.may_send()
+
+
+async def test_an_item_that_goes_on_is_no_suspect(processes):
+    item = processes[0].trial(most_ends=3)
+    send(item, ended="b1")
+    send(item, ended="b2")
+    item.progressed()
+    send(item, ended="b3")
+    item.report_if_held()
+    assert item.may_send() and not len(processes[0].table)
+
+
+async def test_an_item_waits_until_it_may_be_tried(processes, short_holds):
+    item = processes[0].trial(most_ends=3)
+    for ended in ("b1", "b2", "b3"):
+        assert item.may_send()
+        send(item, ended=ended)
+        item.report_if_held()
+    assert not item.is_admitted()
+    async with asyncio.timeout(5):
+        await item.wait_admitted()
+    assert item.is_admitted() and item.may_send()
+    send(item, answered=True)
+    await eventually(lambda: not any(len(one.table) for one in processes), "freed")
+
+
+async def test_others_are_not_touched(processes):
+    await hold(processes)
+    for other in (make_subject(tenant="u"), make_subject(body=b"ydob"), make_subject(body=b"")):
+        await processes[0].trial(other).admit()
+
+
+async def test_an_empty_body_is_told_by_its_target(processes):
+    empty = make_subject(body=b"")
+    await hold(processes, empty)
+    with pytest.raises(RequestHeld):
+        await processes[0].trial(empty).admit()
