Two clocks: what is promised to others counts the time for which a machine was suspended

Cause: every lease, pause, age and deadline was counted by the steady clock, which stands still while the machine is suspended. A holder that woke took its lease for held, and its copy of the configuration for fresh, for as long as it had left when it fell asleep. Ruled out: the time of day (it jumps); refusing all requests after a suspension until the store answers (an outage would stop the service).

--- a/src/crankseam/cluster/configuration_lease.py
+++ b/src/crankseam/cluster/configuration_lease.py
@@ -8,10 +8,10 @@
 
 from __future__ import annotations
 
-import time
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from crankseam import clocks
 from crankseam.config.snapshot import (
     EMPTY_SNAPSHOT,
     Snapshot,
@@ -23,7 +23,7 @@
 
 @dataclass(frozen=True)
 class RegisterReading:
-    """A majority's answer, and when the question was put (monotonic seconds)."""
+    """A majority's answer, and when the question was put (time of promises)."""
 
     revision: int
     asked_at: float
@@ -38,7 +38,7 @@
     """
 
     def __init__(
-        self, term: float, margin: float, clock: Callable[[], float] = time.monotonic
+        self, term: float, margin: float, clock: Callable[[], float] = clocks.promised_s
     ) -> None:
         self._term = term
         self._margin = margin
--- a/src/crankseam/cluster/membership.py
+++ b/src/crankseam/cluster/membership.py
@@ -16,6 +16,7 @@
 from collections.abc import Callable
 from typing import TYPE_CHECKING
 
+from crankseam import clocks
 from crankseam.cluster.digest import MemberStatus
 from crankseam.cluster.relay import RelayDuties
 from crankseam.cluster.zone_order import ZoneOrder
@@ -213,7 +214,7 @@
             incarnation,
             version if entries_wanted else NO_ENTRIES,
         )
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         try:
             answer = await self._agent.transport.call_for(
                 relay.peer_address, message, HeartbeatAnswer, self._timing.peer_timeout
--- a/src/crankseam/cluster/relay.py
+++ b/src/crankseam/cluster/relay.py
@@ -10,6 +10,7 @@
 
 import msgspec
 
+from crankseam import clocks
 from crankseam.cluster.digest import MemberStatus
 from crankseam.cluster.liveness import LivenessJudge
 from crankseam.cluster.zone_order import ZoneOrder
@@ -189,7 +190,7 @@
 
     async def read_register(self) -> None:
         """Read it once, for this node's lease and for those that ask this relay."""
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         try:
             revision = await self._agent.read_register()
         except RecordError:
--- a/src/crankseam/cluster/stall_guard.py
+++ b/src/crankseam/cluster/stall_guard.py
@@ -7,9 +7,10 @@
 from __future__ import annotations
 
 import asyncio
-import time
 from collections.abc import Callable
 
+from crankseam import clocks
+
 TICK_SECONDS = 0.1
 
 
@@ -20,7 +21,7 @@
         longest: seconds without a tick that count as a stall.
     """
 
-    def __init__(self, longest: float, clock: Callable[[], float] = time.monotonic) -> None:
+    def __init__(self, longest: float, clock: Callable[[], float] = clocks.promised_s) -> None:
         self._longest = longest
         self._clock = clock
         self._ticked_at = clock()
--- a/src/crankseam/controllers/duty.py
+++ b/src/crankseam/controllers/duty.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-import time
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 from crankseam.clients.key_value import KeyValueClient, Put, Unchanged
 from crankseam.constants import DUTY_PREFIX
@@ -43,7 +43,7 @@
 
     def is_held(self) -> bool:
         """Whether this node may act now. Ask again directly before each act."""
-        return time.monotonic() < self._held_until
+        return clocks.promised_s() < self._held_until
 
     async def run(self) -> None:
         """Acquire, renew, and compete again when lost, until cancelled."""
@@ -61,7 +61,7 @@
         await self._acquire()
 
     async def _renew(self) -> bool:
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         if await self._key_value.keep_alive(self._lease):
             if self.fence:
                 self._held_until = asked_at + self._term - self._margin
@@ -78,7 +78,7 @@
             if current.value.decode() == f"{self._holder}/{self._lease}" and self._lease:
                 self.fence = current.create_revision
             return
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         if not self._lease:
             self._lease = await self._key_value.grant_lease(self._term)
         value = f"{self._holder}/{self._lease}".encode()
--- a/src/crankseam/controllers/limit_shares.py
+++ b/src/crankseam/controllers/limit_shares.py
@@ -9,11 +9,11 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
 import msgspec
 
+from crankseam import clocks
 from crankseam.cluster.agent import ClusterAgent
 from crankseam.config.kinds import Limit
 from crankseam.errors import RecordError
@@ -54,7 +54,7 @@
         total: int,
         term: float,
         margin: float,
-        clock: Callable[[], float] = time.monotonic,
+        clock: Callable[[], float] = clocks.promised_s,
     ) -> None:
         self.holder = holder
         self.total = total
@@ -175,7 +175,7 @@
             await self._renew(self.share_of(limit), limit)
 
     async def _renew(self, share: LimitShare, limit: Limit) -> None:
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         where = self._agent.locate(f"limit/{limit.name}")
 
         def change(standing: bytes | None) -> bytes:
--- a/src/crankseam/coordination/duty.py
+++ b/src/crankseam/coordination/duty.py
@@ -7,9 +7,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
+from crankseam import clocks
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import (
     ABSENT,
@@ -54,6 +54,7 @@
     process : this process's name.
     turn_pause : seconds between an act of one holder and the first of the next.
     processes : names of all living processes; where given, they try in the order of their ranks.
+    clock : counts the pauses that others rely on.
     """
 
     def __init__(
@@ -65,8 +66,10 @@
         name: str,
         turn_pause: float,
         processes: Callable[[], list[str]] | None = None,
+        clock: Callable[[], float] = clocks.promised_s,
     ) -> None:
         self.name = name
+        self._clock = clock
         self._processes = processes
         self._store = store
         self._state = state
@@ -104,7 +107,7 @@
         if not vacant:
             self._vacant_since = None
         elif self._vacant_since is None:
-            self._vacant_since = time.monotonic()
+            self._vacant_since = self._clock()
         return vacant
 
     def _is_own_earlier_life(self) -> bool:
@@ -123,7 +126,7 @@
         last = self._state.entries.get(self._last_key)
         if last is None or last.value == self._process.encode():
             return True
-        return time.monotonic() - self._vacant_since >= FORMER_HOLDER_FIRST_SECONDS
+        return self._clock() - self._vacant_since >= FORMER_HOLDER_FIRST_SECONDS
 
     def refuse(self, fence: int) -> None:
         """Whoever is acted upon has seen a higher token than this one: it is not used again."""
@@ -146,11 +149,11 @@
         if entry.revision != self._held_revision:
             # Won by a call whose answer was lost.
             self._won(entry.revision, self._turn_pause)
-        return entry.revision if time.monotonic() >= self._may_act_at else None
+        return entry.revision if self._clock() >= self._may_act_at else None
 
     def _won(self, revision: int, pause: float) -> None:
         self._held_revision = revision
-        self._may_act_at = time.monotonic() + pause
+        self._may_act_at = self._clock() + pause
         log.info("duty_won", extra={"duty": self.name, "fence": revision, "pause": pause})
 
     async def take_turn(self) -> int | None:
@@ -202,4 +205,4 @@
         """The former holder did not act after its key was gone, which was seen a while ago."""
         if self._vacant_since is None:
             return self._turn_pause
-        return max(0.0, self._turn_pause - (time.monotonic() - self._vacant_since))
+        return max(0.0, self._turn_pause - (self._clock() - self._vacant_since))
--- a/src/crankseam/coordination/feed.py
+++ b/src/crankseam/coordination/feed.py
@@ -7,6 +7,7 @@
 from collections import deque
 from collections.abc import Callable
 
+from crankseam import clocks
 from crankseam.coordination.interface import Changes, Entry, HistoryCompacted, Removal
 from crankseam.errors import KeyValueUnavailable
 
@@ -70,7 +71,7 @@
         """Seconds since a call was sent whose answer showed the feed to be complete."""
         if self._watch_waits:
             self._confirm()
-        return time.monotonic() - self._confirmed_at
+        return clocks.promised_s() - self._confirmed_at
 
     def _confirm(self) -> None:
         self._confirmed_at = max(self._confirmed_at, self._answered_at())
--- a/src/crankseam/coordination/follower.py
+++ b/src/crankseam/coordination/follower.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 from crankseam.coordination.feed import PrefixFeed
 from crankseam.coordination.interface import (
@@ -64,7 +64,7 @@
         self.feed: PrefixFeed | None = None
         """Where other processes follow what this one takes, if they do."""
         self.confirmed_at = float("-inf")
-        """Monotonic time at which a call was sent whose answer showed this copy to be complete."""
+        """Time of promises at which a call was sent whose answer showed this copy complete."""
 
     def listen(self, prefix: str, on_change: ChangeHandler) -> None:
         """Also tell of the changes below a longer prefix."""
@@ -112,7 +112,7 @@
                 await asyncio.sleep(backoff.next_delay())
 
     async def _read_all(self) -> None:
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         whole = await read_whole_prefix(self._store, self.prefix)
         found = {entry.key for entry in whole.entries}
         for key in [key for key in self.entries if key not in found]:
@@ -126,7 +126,7 @@
         self._synchronized.set()
 
     async def _watch_once(self) -> None:
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         watch = self._store.watch(self.prefix, self.revision, self._wait)
         self._watching = asyncio.create_task(watch)
         if self.feed is not None:
--- a/src/crankseam/coordination/process_lease.py
+++ b/src/crankseam/coordination/process_lease.py
@@ -4,9 +4,9 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import Callable
 
+from crankseam import clocks
 from crankseam.coordination.interface import CoordinationStore, LeaseExpired
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 
@@ -30,10 +30,16 @@
 
     An idle process holds a long lease, which is renewed seldom. Before others rely on it, it wins
     a short one, under which its presence is told anew; the long one runs out by itself.
+
+    Args:
+        clock: counts the time for which the store promised the lease.
     """
 
-    def __init__(self, store: CoordinationStore) -> None:
+    def __init__(
+        self, store: CoordinationStore, clock: Callable[[], float] = clocks.promised_s
+    ) -> None:
         self._store = store
+        self._clock = clock
         self.on_new: list[Callable[[int], None]] = []
         """Called with the number of each new lease, when the keys of the old one are gone."""
         self.on_recovered: list[Callable[[], None]] = []
@@ -45,13 +51,13 @@
         """Set by a planned end: what hangs on the lease is for other processes from then on."""
         self.number = 0
         self._is_short = False
-        self._short_won = asyncio.Event()
+        self._renew_now = asyncio.Event()
         self._held_until = float("-inf")
         self._renewing = asyncio.Lock()
 
     def is_held(self) -> bool:
-        """Whether the store cannot have taken the lease back yet, by the monotonic clock."""
-        return self.number != 0 and time.monotonic() < self._held_until
+        """Whether the store cannot have taken the lease back yet, by this process's clock."""
+        return self.number != 0 and self._clock() < self._held_until
 
     async def run(self) -> None:
         """Renew until cancelled."""
@@ -62,10 +68,10 @@
 
     async def _wait_to_renew(self) -> None:
         """Wait for the next renewal; a short lease that is won meanwhile has its own times."""
-        self._short_won.clear()
+        self._renew_now.clear()
         try:
             async with asyncio.timeout(self._next_renewal_s()):
-                await self._short_won.wait()
+                await self._renew_now.wait()
         except TimeoutError:
             return
 
@@ -98,6 +104,10 @@
                     await self._renew_or_replace(True)
         return self.number
 
+    def renew_soon(self) -> None:
+        """Renew now: the machine was suspended, and nothing is known of the lease."""
+        self._renew_now.set()
+
     def _is_relied_on(self) -> bool:
         return any(says() for says in self.relied_on)
 
@@ -110,7 +120,7 @@
         """Renew the lease; win one if there is none, or if it must be short and is not."""
         if self.is_ended:
             raise KeyValueUnavailable("the lease was ended")
-        asked_at = time.monotonic()
+        asked_at = self._clock()
         if self.number == 0 or (short and not self._is_short):
             seconds = LEASE_SECONDS if short else IDLE_LEASE_SECONDS
             number, duration = await self._store.grant_lease(seconds)
@@ -118,7 +128,7 @@
             self._is_short = short
             self._held_until = float("-inf")
             if short:
-                self._short_won.set()
+                self._renew_now.set()
             self._hold(asked_at, duration)
             log.info("lease_won", extra={"lease": number, "seconds": duration})
             for notify in self.on_new:
--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -14,6 +14,7 @@
 
 import msgspec
 
+from crankseam import clocks
 from crankseam.coordination.interface import (
     Changes,
     Condition,
@@ -172,12 +173,12 @@
         self._refused_until: dict[str, float] = {}
         """The same for a peer that could do nothing; it goes before a silent one."""
         self.answered_at = float("-inf")
-        """Monotonic time at which the newest call was sent that the store answered directly."""
+        """Time of promises at which the newest call was sent that the store answered directly."""
 
     def is_direct_failing(self) -> bool:
         """Whether this process's own calls have failed for a while."""
         since = self._failing_since
-        return since is not None and time.monotonic() - since >= FAILING_AFTER_SECONDS
+        return since is not None and clocks.promised_s() - since >= FAILING_AFTER_SECONDS
 
     async def serve(self, raw: bytes) -> bytes:
         """Make a peer's call by the own way only; refused at once while that fails."""
@@ -198,14 +199,14 @@
         return answer
 
     async def _make_directly(self, call: RelayCall) -> RelayAnswer:
-        began_at = time.monotonic()
+        began_at = clocks.promised_s()
         answer = await perform(self._direct, call)
         self._note(answer, began_at)
         return answer
 
     def _may_probe(self) -> bool:
         """Whether it is time to try the own way again."""
-        now = time.monotonic()
+        now = clocks.promised_s()
         if now - self._probed_at < PROBE_SECONDS:
             return False
         self._probed_at = now
@@ -239,7 +240,7 @@
             self._failing_since = None
             self._through_peers = False
         elif failed and since is None:
-            self._failing_since = time.monotonic()
+            self._failing_since = clocks.promised_s()
             self._probed_at = self._failing_since
 
     async def _ask_peer(self, call: RelayCall) -> RelayAnswer:
--- a/src/crankseam/coordination/shared_watch.py
+++ b/src/crankseam/coordination/shared_watch.py
@@ -18,6 +18,7 @@
 
 import msgspec
 
+from crankseam import clocks
 from crankseam.coordination.feed import PrefixFeed
 from crankseam.coordination.feed_messages import (
     REFUSED_COMPACTED,
@@ -249,11 +250,11 @@
         if not self._has_readers():
             return await self._store.watch(prefix, after_revision, wait)
         wait_s = min(wait, self._watch_s)
-        asked_at = time.monotonic()
+        asked_at = clocks.promised_s()
         seen = await self._store.watch(prefix, after_revision, wait_s)
         if seen.changes:
             return seen
-        return replace(seen, age_s=-min(wait_s, time.monotonic() - asked_at))
+        return replace(seen, age_s=-min(wait_s, clocks.promised_s() - asked_at))
 
     def _has_readers(self) -> bool:
         return watcher_count(len(self._processes())) < len(self._processes())
--- a/src/crankseam/jobs/claims.py
+++ b/src/crankseam/jobs/claims.py
@@ -5,9 +5,9 @@
 import asyncio
 import logging
 import random
-import time
 from functools import partial
 
+from crankseam import clocks
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.interface import Entry
 from crankseam.coordination.presence import living_capacities
@@ -210,15 +210,15 @@
         runner = self._running.runners.get(job_id)
         if runner is None:
             return
-        runner.checked_at = time.monotonic()
+        runner.checked_at = clocks.promised_s()
         end = runner.checked_at + FORMER_OWNER_S
         while (
-            time.monotonic() < end
+            clocks.promised_s() < end
             and self._running.runners.get(job_id) is runner
             and self._running.is_owner(job_id)
         ):
             await asyncio.sleep(FORMER_OWNER_LOOK_S)
-            asked_at = time.monotonic()
+            asked_at = clocks.promised_s()
             try:
                 await self.take_listed(job_id)
                 runner.checked_at = asked_at
--- a/src/crankseam/jobs/placement.py
+++ b/src/crankseam/jobs/placement.py
@@ -15,6 +15,7 @@
 
 import msgspec
 
+from crankseam import clocks
 from crankseam.coordination.presence import ProcessAsker
 from crankseam.coordination.ranking import rank_by_capacity
 from crankseam.errors import KeyValueError, KeyValueUnavailable
@@ -136,7 +137,7 @@
         return first if first != self._process else None
 
     async def _hand_over(self, chosen: str, job: JobDefinition, deadline: float) -> Outcome:
-        wait_s = min(ACCEPT_S, deadline - time.monotonic())
+        wait_s = min(ACCEPT_S, deadline - clocks.promised_s())
         submission = msgspec.msgpack.encode(Submission(job, wait_s))
         try:
             raw = await self._ask_process(chosen, submission, wait_s + ANSWER_SLACK_S)
@@ -162,7 +163,7 @@
         if self._is_behind() or not self._jobs.has_room(len(submission.job.items)):
             return Outcome.NOT_ACCEPTED
         try:
-            await self._jobs.submit(submission.job, time.monotonic() + submission.wait_s)
+            await self._jobs.submit(submission.job, clocks.promised_s() + submission.wait_s)
         except JobIdTaken:
             return Outcome.ID_TAKEN
         except KeyValueUnavailable:
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -7,6 +7,7 @@
 import statistics
 import time
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.carried import MadeTexts
@@ -72,9 +73,9 @@
         self._moments = ListingMoments(job, self._listed_ids, due_at)
         self._listed_more = asyncio.Event()
         self._listing_since: float | None = None
-        """Monotonic time of the first call of a listing that may have taken effect unseen."""
+        """Time of promises of the first call of a listing that may have taken effect unseen."""
         self.checked_at: float | None = None
-        """Monotonic time of the last look for others' listings; None if there can be none."""
+        """Time of promises of the last look for others' listings; None if there can be none."""
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         self._finished_ids: set[str] = set()
         for result in self._unlisted(finished):
@@ -89,7 +90,7 @@
 
         What is listed only moments ago need not be known everywhere.
         """
-        now = time.monotonic()
+        now = clocks.promised_s()
         if self._listing_since is not None and now - self._listing_since > UNCERTAIN_S:
             return False
         return self.checked_at is None or now - self.checked_at <= UNCHECKED_S
@@ -212,7 +213,7 @@
         while batch:
             number = self.chunks
             if self._listing_since is None:
-                self._listing_since = time.monotonic()
+                self._listing_since = clocks.promised_s()
             part = fitting_one_chunk(batch)
             try:
                 await self._repository.append(self.job.id, number, part)
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -13,6 +13,7 @@
 from collections.abc import Callable
 from typing import Protocol
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ScoringFailed
@@ -51,7 +52,7 @@
         """The signature of the answer.
 
         Args:
-            deadline: monotonic time at which the back end is to stop its work.
+            deadline: time of promises at which the back end is to stop its work.
 
         Raises:
             AttemptNotRun, AttemptBroken, ScoringFailed
@@ -163,7 +164,7 @@
         try:
             async with asyncio.timeout(patience_s):
                 with self.trial.sending() as send:
-                    score = await self._send(back_end, time.monotonic() + patience_s, send)
+                    score = await self._send(back_end, clocks.promised_s() + patience_s, send)
         except AttemptNotRun as refusal:
             back_end.was_full(TURNED_AWAY_PAUSE_S)
             if refusal.wrong_instance:
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -4,8 +4,8 @@
 
 import asyncio
 import logging
-import time
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 from crankseam.coordination.follower import WATCH_SECONDS, PrefixFollower
 from crankseam.coordination.interface import (
@@ -147,7 +147,7 @@
         another process to claim.
 
         Args:
-            deadline: monotonic time until which the caller waits.
+            deadline: time of promises until which the caller waits.
 
         Raises:
             AcceptanceUnknown: the store did not say, or items ran; nothing can be promised.
@@ -200,7 +200,7 @@
             except KeyValueError as error:
                 unknown = unknown or not isinstance(error, KeyValueUnavailable)
                 delay = backoff.next_delay()
-                if time.monotonic() + delay >= deadline:
+                if clocks.promised_s() + delay >= deadline:
                     if unknown:
                         raise AcceptanceUnknown(job.id) from error
                     raise
--- a/src/crankseam/requests/context.py
+++ b/src/crankseam/requests/context.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import secrets
-import time
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
 from aiohttp import web
 
+from crankseam import clocks
 from crankseam.config.kinds import Service
 from crankseam.config.snapshot import Snapshot
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
@@ -30,7 +30,7 @@
     """One request on its way through the chain.
 
     Attributes:
-        deadline: monotonic time at which the caller stops waiting.
+        deadline: time of promises at which the caller stops waiting.
         dispatched: whether any byte may have reached a back end.
     """
 
@@ -41,7 +41,7 @@
     request_id: str = ""
     idempotency_key: str | None = None
     key_date: int = 0
-    arrived: float = field(default_factory=time.monotonic)
+    arrived: float = field(default_factory=clocks.promised_s)
     deadline: float = 0.0
     snapshot: Snapshot | None = None
     service: Service | None = None
@@ -57,7 +57,7 @@
 
     def remaining(self) -> float:
         """Seconds the caller still waits."""
-        return self.deadline - time.monotonic()
+        return self.deadline - clocks.promised_s()
 
     def outcome_so_far(self) -> str:
         """What may be said of the request now: `not_run` until a byte may have left."""
--- a/src/crankseam/requests/identify.py
+++ b/src/crankseam/requests/identify.py
@@ -2,9 +2,9 @@
 
 from __future__ import annotations
 
-import time
 import uuid
 
+from crankseam import clocks
 from crankseam.cluster.agent import wall_milliseconds
 from crankseam.cluster.configuration_lease import ConfigurationLease
 from crankseam.constants import (
@@ -99,7 +99,7 @@
         if context.must_not_repeat and context.idempotency_key is None:
             detail = f"{context.http.method} needs an {IDEMPOTENCY_HEADER}"
             raise BadRequest(detail, OUTCOME_NOT_RUN)
-        if time.monotonic() >= context.deadline:
+        if clocks.promised_s() >= context.deadline:
             detail = "the deadline has passed"
             raise Unavailable(detail, OUTCOME_NOT_RUN, RETRY_UNREADY_SECONDS)
         return await following(context)
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -4,11 +4,11 @@
 
 import asyncio
 import logging
-import time
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
 
+from crankseam import clocks
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
 from crankseam.errors import OutcomeUnknown, Problem, Unavailable
 from crankseam.quarantine.crash_guard import CrashGuard
@@ -49,7 +49,7 @@
     last_failure: Answer | None = None
     reasons: list[str] = field(default_factory=list)
     began_at: float | None = None
-    """Steady time at which it was sent to the first back end that may have run it."""
+    """Time of promises at which it was sent to the first back end that may have run it."""
 
 
 class Forwarder:
@@ -59,7 +59,7 @@
         guard: holds back requests under which back ends ended.
         zone: where this process runs; back ends there are preferred between equals.
         on_begun: called once for each request that may have begun to run, with its tenant and the
-            steady time at which it did.
+            time of promises at which it did.
     """
 
     def __init__(
@@ -91,7 +91,7 @@
         answer: Answer | StreamingAnswer | None = None
         try:
             async with asyncio.timeout_at(
-                asyncio.get_running_loop().time() + end - time.monotonic()
+                asyncio.get_running_loop().time() + end - clocks.promised_s()
             ):
                 answer = await self._attempt_until_answered(request, route, service, end, progress)
         except TimeoutError:
@@ -117,7 +117,7 @@
                 "reasons": progress.reasons,
                 "ended": trial.ended,
                 "fingerprint": trial.subject.fingerprint if trial.ended else "",
-                "seconds": round(time.monotonic() - request.received_at, 4),
+                "seconds": round(clocks.promised_s() - request.received_at, 4),
             },
         )
         if answer is None:
@@ -142,6 +142,8 @@
         while True:
             if progress.may_have_run >= (route.max_attempts if repeatable else 1):
                 return None
+            if clocks.promised_s() >= end:
+                raise TimeoutError
             if progress.turned_away >= MAX_TURNED_AWAY or not progress.trial.may_send():
                 return None
             first = self._choose(service, progress)
@@ -212,7 +214,7 @@
         progress.tried.add(back_end.record.id)
         progress.may_have_run += 1
         back_end.in_flight += 1
-        sent_at, ran = time.monotonic(), True
+        sent_at, ran = clocks.promised_s(), True
         try:
             with progress.trial.sending() as send:
                 answer = await self._send(request, route, back_end, end, send)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -42,6 +42,9 @@
     "reloaded": LogEvent("The settings file was read again and is valid."),
     "reload_refused": LogEvent("The settings file is not valid; nothing changed.", ("errors",)),
     "task_failed": LogEvent("A background task failed; a lasting one starts again.", ("task",)),
+    "suspended": LogEvent(
+        "The machine stood still for so long; what others rely on is asked anew.", ("seconds",)
+    ),
     "log_lines_dropped": LogEvent("So many lines did not fit the buffer.", ("count",)),
     # --- the store
     "store_lost": LogEvent("The store stopped answering this process.", ("error",)),
--- a/src/crankseam/serving/messages.py
+++ b/src/crankseam/serving/messages.py
@@ -19,7 +19,7 @@
     Attributes:
         target: path and query as they stood in the request.
         headers: all but those of the connection and those that the adapter sets anew.
-        deadline: monotonic time until which the caller waits.
+        deadline: time of promises until which the caller waits.
         tenant: name of the tenant on whose behalf it runs; empty where there is none.
     """
 
@@ -84,7 +84,7 @@
         """Send one attempt.
 
         Args:
-            deadline: monotonic time at which the back end is to stop its work.
+            deadline: time of promises at which the back end is to stop its work.
             relay: whether an answer of events is wanted as a `StreamingAnswer`.
 
         Raises:
--- /dev/null
+++ b/src/crankseam/serving/suspension.py
@@ -0,0 +1,71 @@
+"""Notices that the machine was suspended, so that nothing is answered by what was known before.
+
+The two clocks of a process drift apart by the time for which its machine was suspended. Leases and
+ages count that time anyway; what remains is to ask anew at once, and to let requests wait for the
+answer a little.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from crankseam import clocks
+
+log = logging.getLogger(__name__)
+
+LOOK_S = 0.1
+SUSPENDED_S = 0.1
+"""The clocks drift apart by this only while the machine is suspended."""
+SETTLE_S = 0.3
+"""Requests wait so long at most for the first confirmation after a suspension: ten times what a
+store takes that answers. One that is away must not stop the service."""
+SETTLE_LOOK_S = 0.01
+
+
+class SuspensionWatch:
+    """Compares the clocks.
+
+    Parameters
+    ==========
+
+    confirmed_at : time of promises as of which the configuration is known to be the newest.
+    """
+
+    def __init__(self, confirmed_at: Callable[[], float]) -> None:
+        self._confirmed_at = confirmed_at
+        self._apart_s = self._measure()
+        self._woken_at = float("-inf")
+        self.on_woken: list[Callable[[], None]] = []
+
+    @staticmethod
+    def _measure() -> float:
+        return clocks.promised_s() - clocks.paced_s()
+
+    def look(self) -> None:
+        """Compare them once."""
+        apart_s = self._measure()
+        grown_s, self._apart_s = apart_s - self._apart_s, apart_s
+        if grown_s < SUSPENDED_S:
+            return
+        self._woken_at = clocks.promised_s()
+        log.warning("suspended", extra={"seconds": round(grown_s, 3)})
+        for notify in self.on_woken:
+            notify()
+
+    async def settle(self) -> None:
+        """Before a request: after a suspension, wait until the configuration is confirmed."""
+        self.look()
+        end = self._woken_at + SETTLE_S
+        while not self._is_confirmed() and clocks.promised_s() < end:  # noqa: ASYNC110 - time decides
+            await asyncio.sleep(SETTLE_LOOK_S)
+
+    def _is_confirmed(self) -> bool:
+        return self._confirmed_at() >= self._woken_at
+
+    async def run(self) -> None:
+        """Compare them until cancelled."""
+        while True:
+            await asyncio.sleep(LOOK_S)
+            self.look()
--- a/src/crankseam/usage/clock.py
+++ b/src/crankseam/usage/clock.py
@@ -8,6 +8,8 @@
 import time
 from collections.abc import Callable
 
+from crankseam import clocks
+
 log = logging.getLogger(__name__)
 
 LOOK_S = 1.0
@@ -38,7 +40,7 @@
         self,
         window_s: float,
         wall: Callable[[], float] = time.time,
-        steady: Callable[[], float] = time.monotonic,
+        steady: Callable[[], float] = clocks.promised_s,
     ) -> None:
         self.window_s = window_s
         self._wall = wall
--- a/tests/coordination/test_duty.py
+++ b/tests/coordination/test_duty.py
@@ -1,8 +1,10 @@
 import asyncio
+import time
 from contextlib import AsyncExitStack
 
 import pytest
 
+from crankseam import clocks
 from crankseam.coordination.duty import Duty
 from crankseam.coordination.follower import PrefixFollower
 from crankseam.coordination.process_lease import ProcessLease
@@ -116,3 +118,83 @@
     assert first.holder.may_try(), "the right is still held here: under a newer token"
     await first.holder.try_acquire()
     await eventually(lambda: (first.holder.fence() or 0) > fence)
+
+
+class SuspendedWay:
+    """One process's way to the store; while its machine is suspended nothing comes through."""
+
+    def __init__(self, store):
+        self._store = store
+        self.awake = asyncio.Event()
+        self.awake.set()
+
+    def __getattr__(self, name):
+        async def call(*arguments):
+            await self.awake.wait()
+            answer = await getattr(self._store, name)(*arguments)
+            await self.awake.wait()
+            return answer
+
+        return call
+
+
+class Machine:
+    """The two clocks of a machine that may be suspended."""
+
+    def __init__(self, way):
+        self._way = way
+        self._lost_s = 0.0
+        self._since = None
+
+    def suspend(self):
+        self._way.awake.clear()
+        self._since = time.monotonic()
+
+    def wake(self):
+        self._lost_s += time.monotonic() - self._since
+        self._since = None
+        self._way.awake.set()
+
+    def paced_s(self):
+        now = time.monotonic() if self._since is None else self._since
+        return now - self._lost_s
+
+
+class SuspendedProcess(Process):
+    def __init__(self, store, name):
+        way = SuspendedWay(store)
+        self.machine = Machine(way)
+        self.lease = ProcessLease(way)
+        self.state = PrefixFollower(way, "state/", lambda key, entry: None, 0.2)
+        self.holder = Duty(way, self.state, self.lease, name, "orders", PAUSE)
+
+
+async def suspended_holder(clock_of):
+    """A holder that slept while another one took over, right after it woke."""
+    store = MemoryStore()
+    async with AsyncExitStack() as stack:
+        first = await stack.enter_async_context(SuspendedProcess(store, "a"))
+        second = await stack.enter_async_context(Process(store, "b"))
+        clock = clock_of(first.machine)
+        first.lease._clock = first.holder._clock = clock
+        await first.lease.ensure()
+        await first.acquire()
+        assert first.holder.fence() is not None
+        first.machine.suspend()
+        await eventually(lambda: second.holder._current() is not None)
+        await eventually(second.holder.is_vacant)
+        await eventually(second.holder.may_try)
+        await second.holder.try_acquire()
+        await eventually(lambda: second.holder.fence() is not None)
+        first.machine.wake()
+        return first.holder.fence(), first.lease.is_held()
+
+
+async def test_a_holder_that_was_suspended_holds_nothing_when_it_wakes():
+    assert await suspended_holder(lambda machine: clocks.promised_s) == (None, False)
+
+
+async def test_by_a_clock_that_stood_still_it_would_act_beside_its_successor():
+    """Why the clock of promises is another one: this is what the test above can notice."""
+    fence, held = await suspended_holder(lambda machine: machine.paced_s)
+    assert held and fence is not None
--- a/tests/coordination/test_shared_watch.py
+++ b/tests/coordination/test_shared_watch.py
@@ -6,6 +6,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from crankseam import clocks
 from crankseam.coordination import feed_messages, shared_watch
 from crankseam.coordination.feed import PrefixFeed
 from crankseam.coordination.follower import PrefixFollower
@@ -249,7 +250,7 @@
 
     peers = [Peer(f"p{number:02d}", f"a{number}", number) for number in range(20)]
     watches = SharedWatches(Store(), lambda: peers, "p00", None, 1.0, lambda: float("-inf"))
-    monkeypatch.setattr(shared_watch.time, "monotonic", lambda: clock[0])
+    monkeypatch.setattr(clocks, "promised_s", lambda: clock[0])
     longest_s = shared_watch.WATCH_SHARE
     assert (await watches.watch("a/", 6, 5.0)).age_s == pytest.approx(-longest_s)
     assert (await watches.watch("a/", 0, 5.0)).age_s == 0.0, "changes may have come at once"
--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 
 import aiohttp
 import msgspec
@@ -311,3 +312,23 @@
         used = [len(sampler.callers) for sampler in deployment.samplers if sampler.callers]
         assert all(count <= connections for count in used)
         assert connections == 1 or sum(used) == connections
+
+
+async def test_a_front_whose_machine_was_suspended_asks_anew_before_it_answers(
+    deployment, monkeypatch
+):
+    """Its watch was deaf meanwhile, and the configuration has changed."""
+    await deployment.configure()
+    front = await deployment.start_front()
+    deployment.store.faults.deaf = True
+    front.discovery.restart()
+    await asyncio.sleep(0.1)
+    await deployment.configure(2, [*ROUTES, route("new", "/new/", "safe")])
+    deployment.store.faults.deaf = False
+    await asyncio.sleep(0.2)
+    assert front.configuration.version == 1
+    usual = time.clock_gettime
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: usual(clock) + 7.0)
+    assert not front.jobs.lease.is_held()
+    assert (await deployment.ask(front, "/new/x"))[0] == 200
+    await eventually(front.jobs.lease.is_held)
--- /dev/null
+++ b/tests/serving/test_suspension.py
@@ -0,0 +1,60 @@
+import asyncio
+import time
+
+import pytest
+
+from crankseam import clocks
+from crankseam.serving.suspension import SuspensionWatch
+
+
+@pytest.fixture
+def suspend(monkeypatch):
+    def suspend(seconds):
+        usual = time.clock_gettime
+        monkeypatch.setattr(time, "clock_gettime", lambda clock: usual(clock) + seconds)
+
+    return suspend
+
+
+class Confirmation:
+    """When the configuration was confirmed last."""
+
+    def __init__(self):
+        self.at = float("-inf")
+
+    def confirm(self):
+        self.at = clocks.promised_s()
+
+
+async def test_a_suspension_is_noticed_once_and_told(suspend):
+    watch, woken = SuspensionWatch(lambda: 0.0), []
+    watch.on_woken.append(lambda: woken.append(1))
+    watch.look()
+    suspend(3.0)
+    watch.look()
+    watch.look()
+    assert woken == [1]
+
+
+async def test_a_request_after_it_waits_for_the_first_confirmation(suspend):
+    confirmation = Confirmation()
+    confirmation.confirm()
+    watch = SuspensionWatch(lambda: confirmation.at)
+    async with asyncio.timeout(1):
+        await watch.settle()
+    suspend(3.0)
+    waiting = asyncio.create_task(watch.settle())
+    await asyncio.sleep(0.05)
+    assert not waiting.done()
+    confirmation.confirm()
+    async with asyncio.timeout(1):
+        await waiting
+
+
+async def test_a_store_that_is_away_does_not_stop_the_service(suspend):
+    watch = SuspensionWatch(lambda: 0.0)
+    suspend(3.0)
+    async with asyncio.timeout(2):
+        await watch.settle()
+    async with asyncio.timeout(0.1):
+        await watch.settle()
