--- a/tests/platform/test_front.py
+++ b/tests/platform/test_front.py
@@ -5,6 +5,7 @@
 import msgspec
 import pytest
 
+from crankseam.coordination.interface import Transaction
 from crankseam_standins.ports import free_port
 from tests.platform.deployment import HOST, ROUTES, Deployment, route
 from tests.support.waiting import eventually
@@ -332,3 +333,33 @@
     assert not front.jobs.lease.is_held()
     assert (await deployment.ask(front, "/new/x"))[0] == 200
     await eventually(front.jobs.lease.is_held)
+
+
+@pytest.mark.parametrize("method", ["GET", "PUT", "DELETE"])
+async def test_the_http_library_sends_nothing_again_by_itself(deployment, method):
+    """It does so for these methods when a kept connection breaks: the request would run twice."""
+    await deployment.configure()
+    front = await deployment.start_front()
+    for sampler in deployment.samplers[1:]:
+        await deployment.store.commit(Transaction(removals=[f"servers/{sampler.instance}"]))
+    await eventually(lambda: front.registry.count() == 1)
+    await deployment.ask(front, "/once/x", method=method, request_id="first")
+    sampler = deployment.samplers[0]
+    sampler.faults.reset_before_answer = 1
+    status, _, _ = await deployment.ask(front, "/once/x", method=method, request_id="second")
+    assert [seen.id for seen in sampler.ran].count("second") == 1
+    assert status == 504, "it may have run"
+
+
+async def test_a_request_on_a_kept_connection_whose_sampler_ends_is_not_said_not_to_have_run(
+    deployment,
+):
+    await deployment.configure()
+    front = await deployment.start_front()
+    for sampler in deployment.samplers[1:]:
+        await deployment.store.commit(Transaction(removals=[f"servers/{sampler.instance}"]))
+    await eventually(lambda: front.registry.count() == 1)
+    await deployment.ask(front, "/once/x", method="GET", request_id="first")
+    deployment.samplers[0].faults.ended_by = b"deadly"
+    status, _, _ = await deployment.ask(front, "/once/x", b"deadly", method="GET")
+    assert status == 504
