crankseam node holds crashing requests back by the same mechanism, and operators see and release them

Cause: the node's own forwarding and sampling sent a request that ends its back ends on and on, like the deployed front. Ruled out: following the key-value service at each node (420 watches); keeping suspects in replicated records (lost with their replicas). Change: SuspectController wires the one quarantine to the key-value service (written by compare-and-swap, read at start and each minute) and to the other nodes by messages; app requests and samples go through trials; crash_limit in Service and SamplerPool; crankseam suspects list and release; explain names the back ends that ended; /metrics has suspects. A sample that is held for good keeps its step waiting (open).

--- a/src/crankseam/cli/common.py
+++ b/src/crankseam/cli/common.py
@@ -82,8 +82,10 @@
     return asyncio.run(run())
 
 
-async def ask_nodes(nodes: list[str], path: str, tls: ssl.SSLContext | None = None) -> Any:
-    """GET `path` from the first node that answers; the decoded JSON.
+async def ask_nodes(
+    nodes: list[str], path: str, tls: ssl.SSLContext | None = None, method: str = "GET"
+) -> Any:
+    """Ask for `path` at the first node that answers; the decoded JSON.
 
     Raises:
         NodeUnreachable: none gave an answer.
@@ -95,7 +97,7 @@
             try:
                 scheme = "https" if tls else "http"
                 url = f"{scheme}://{node}{path}"
-                async with session.get(url, ssl=tls or True) as answer:
+                async with session.request(method, url, ssl=tls or True) as answer:
                     content = await answer.json(content_type=None)
                     if answer.status == 200:
                         return content
--- a/src/crankseam/cli/main.py
+++ b/src/crankseam/cli/main.py
@@ -12,7 +12,7 @@
 from crankseam.cli import exit_codes
 from crankseam.errors import ApplyConflict, CrankseamError, InvalidConfiguration, KeyValueError
 
-VERBS = ["node", "validate", "plan", "apply", "status", "history", "explain", "schema"]
+VERBS = ["node", "validate", "plan", "apply", "status", "history", "explain", "suspects", "schema"]
 PLUGIN_GROUP = "crankseam.verbs"
 
 
--- a/src/crankseam/clients/key_value.py
+++ b/src/crankseam/clients/key_value.py
@@ -148,12 +148,20 @@
         }
         return await self._range(body)
 
+    async def get_all(self, prefix: str) -> list[KeyValue]:
+        """Read all keys that start with `prefix`."""
+        return await self._range({"key": _encode(prefix), "range_end": _encode(prefix_end(prefix))})
+
     async def _range(self, body: dict[str, Any]) -> list[KeyValue]:
         answer = await self._call("/v3/kv/range", body, is_write=False)
         return [_decode_key_value(raw) for raw in answer.get("kvs", [])]
 
     async def transact(self, conditions: list[Unchanged], writes: list[Put | Delete]) -> bool:
-        """Make all writes if all conditions hold; return whether they did.
+        """Make all writes if all conditions hold; return whether they did. Raises as `commit`."""
+        return await self.commit(conditions, writes) is not None
+
+    async def commit(self, conditions: list[Unchanged], writes: list[Put | Delete]) -> int | None:
+        """Make all writes if all conditions hold; the service's revision, None if they did not.
 
         Raises:
             KeyValueOutcomeUnknown: the answer was lost; read back to learn what happened.
@@ -164,7 +172,9 @@
             "success": [self._encode_write(write) for write in writes],
         }
         answer = await self._call("/v3/kv/txn", body, is_write=True)
-        return bool(answer.get("succeeded", False))
+        if not answer.get("succeeded", False):
+            return None
+        return int(answer.get("header", {}).get("revision", 0))
 
     @staticmethod
     def _encode_condition(condition: Unchanged) -> dict[str, Any]:
--- a/src/crankseam/config/kinds.py
+++ b/src/crankseam/config/kinds.py
@@ -57,6 +57,8 @@
     """Methods that may run more than once; all others are claimed before they are forwarded."""
     deadline: Duration = 10.0
     """Longest time a request may take when the caller names none."""
+    crash_limit: int = Field(default=2, ge=1)
+    """Back ends that may end under one request before it is held back and tried one at a time."""
 
 
 class SamplerPool(_Strict):
@@ -68,6 +70,8 @@
     samplers: list[BackEnd] = Field(min_length=1)
     max_running_per_sampler: int = Field(default=64, ge=1)
     """Requests that crankseam keeps at one sampler at a time."""
+    crash_limit: int = Field(default=3, ge=1)
+    """Samplers that may end under one sample, without a token in between, before it is held."""
     routing: Literal["least_load", "round_robin"] = "least_load"
     """How a sampler is chosen; `round_robin` is there to compare with."""
 
--- a/src/crankseam/constants.py
+++ b/src/crankseam/constants.py
@@ -10,6 +10,7 @@
 HISTORY_PREFIX = f"{KEY_PREFIX}/config/history/"
 FOUNDING_PREFIX = f"{KEY_PREFIX}/records/founding/"
 DUTY_PREFIX = f"{KEY_PREFIX}/duties/"
+STATE_PREFIX = f"{KEY_PREFIX}/state/"
 
 REPLICAS_PER_SLOT = 3
 MAX_FRAME_BYTES = 16 * 1024 * 1024
--- a/src/crankseam/coordination/interface.py
+++ b/src/crankseam/coordination/interface.py
@@ -120,8 +120,8 @@
         """
 
 
-class CoordinationStore(WatchedStore, Protocol):
-    """Typed access to the store. Times are seconds."""
+class TransactionStore(Protocol):
+    """What changing keys needs of the store."""
 
     async def commit(self, transaction: Transaction) -> int:
         """Do the transaction; returns its revision.
@@ -133,6 +133,10 @@
             KeyValueOutcomeUnknown: it may have been done, or may be done seconds later.
         """
 
+
+class CoordinationStore(WatchedStore, TransactionStore, Protocol):
+    """Typed access to the store. Times are seconds."""
+
     async def grant_lease(self, duration: float) -> tuple[int, float]:
         """A new lease: its number and its duration from the moment of the call's arrival."""
 
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -15,6 +15,7 @@
 from crankseam.back_end_probe import BackEndProbe
 from crankseam.clients.key_value import KeyValueClient
 from crankseam.clients.sampler import SamplerClient
+from crankseam.clients.single_send import single_send_session
 from crankseam.cluster.agent import ClusterAgent
 from crankseam.cluster.digest import MemberStatus
 from crankseam.constants import DECISION_HEADER, REQUEST_ID_HEADER
@@ -25,6 +26,7 @@
 from crankseam.controllers.machines import MachineListController
 from crankseam.controllers.replica_placement import ReplicaPlacementController
 from crankseam.controllers.retention import RetentionController
+from crankseam.controllers.suspects import SuspectController
 from crankseam.controllers.weights import WeightsController
 from crankseam.decisions import Decision, DecisionLog
 from crankseam.errors import Problem
@@ -82,7 +84,7 @@
 
     async def start(self) -> None:
         """Join the others and serve callers."""
-        self._session = aiohttp.ClientSession(
+        self._session = single_send_session(
             trace_configs=[trace_first_byte()],
             connector=aiohttp.TCPConnector(limit=BACK_END_CONNECTIONS),
             auto_decompress=False,
@@ -136,6 +138,7 @@
         self.limits = LimitShareController(agent)
         self.watch = BackEndWatchController(agent, self._session)
         self.placement = ReplicaPlacementController(agent)
+        self.suspects = SuspectController(agent)
         self.weights = WeightsController(agent, self._session, self.decisions, self.watch)
 
     def _build_rollout(self, probe: BackEndProbe) -> None:
@@ -149,6 +152,7 @@
             agent.may_send_work,
             self.limits,
             probe,
+            self.suspects.quarantine,
         )
         self.rollout = RolloutService(agent, generator)
 
@@ -167,7 +171,14 @@
                 ServiceLimitFilter(self.limits),
                 ClaimFilter(self.claims),
             ],
-            Forwarder(self._session, self.router, self.decisions, agent.may_send_work, probe),
+            Forwarder(
+                self._session,
+                self.router,
+                self.decisions,
+                agent.may_send_work,
+                probe,
+                self.suspects.quarantine,
+            ),
         )
 
     def _add_routes(self, app: web.Application) -> None:
@@ -191,6 +202,7 @@
             "limits": self.limits,
             "weights": self.weights,
             "decisions": self.decisions,
+            "suspects": self.suspects,
         }
         for name, controller in controllers.items():
             agent.tasks.start(controller.run(), name)
--- a/src/crankseam/operator_api.py
+++ b/src/crankseam/operator_api.py
@@ -8,8 +8,10 @@
 import msgspec
 from aiohttp import web
 
+from crankseam import clocks
 from crankseam.cluster.digest import MemberStatus
 from crankseam.errors import Forbidden, NotFound
+from crankseam.quarantine.quarantine import BY_OPERATOR
 
 if TYPE_CHECKING:
     from crankseam.node import Node
@@ -19,7 +21,7 @@
 
 
 class OperatorApi:
-    """Read-only: operators change files, never single machines."""
+    """Operators change files, never single machines; what is released is so at every node."""
 
     def __init__(self, node: Node) -> None:
         self._node = node
@@ -32,6 +34,8 @@
         app.router.add_get("/metrics", self._metrics)
         app.router.add_get("/operator/status", self._status)
         app.router.add_get("/operator/explain/{id:.+}", self._explain)
+        app.router.add_get("/operator/suspects", self._suspects)
+        app.router.add_post("/operator/suspects/{fingerprint}/release", self._release_suspect)
 
     @web.middleware
     async def _require_operator(
@@ -67,6 +71,7 @@
             "peer_frames_sent": node.agent.transport.traffic.frames_out,
             "key_value_requests": node.key_value.requests_sent,
             "slot_moves": node.placement.moves,
+            "suspects": len(node.suspects.quarantine.suspects()),
         }
         for name, value in values.items():
             node.metrics.set_gauge(name, value)
@@ -117,6 +122,32 @@
             for candidate in node.router.choose(name, back_ends).candidates
         ]
 
+    async def _suspects(self, _request: web.Request) -> web.Response:
+        """Requests under which back ends ended; no body is kept, so none is shown."""
+        now = clocks.paced_s()
+        listed = [
+            {
+                "fingerprint": fingerprint,
+                "route": suspect.record.route,
+                "tenant": suspect.record.tenant,
+                "body_bytes": suspect.record.body_bytes,
+                "ended": suspect.record.ended,
+                "probes": suspect.record.probes,
+                "held": suspect.is_held(),
+                "held_for_s": round(suspect.held_for_s(), 1) if suspect.is_held() else 0.0,
+                "age_s": round(now - suspect.changed_at, 1),
+            }
+            for fingerprint, suspect in self._node.suspects.quarantine.suspects()
+        ]
+        return web.Response(body=msgspec.json.encode(listed), content_type="application/json")
+
+    async def _release_suspect(self, request: web.Request) -> web.Response:
+        fingerprint = request.match_info["fingerprint"]
+        if not self._node.suspects.quarantine.release(fingerprint, BY_OPERATOR):
+            raise NotFound(f"no suspect of fingerprint {fingerprint} is known here")
+        body = msgspec.json.encode({"fingerprint": fingerprint})
+        return web.Response(body=body, content_type="application/json")
+
     async def _explain(self, request: web.Request) -> web.Response:
         wanted = request.match_info["id"]
         found = await self._node.decisions.find(wanted)
--- a/src/crankseam/peers/messages.py
+++ b/src/crankseam/peers/messages.py
@@ -305,6 +305,12 @@
 # --- decisions
 
 
+class TellSuspects(Message, tag="ts"):
+    """News of requests under which back ends ended: an encoded `SuspectNews`."""
+
+    news: bytes
+
+
 class StoreDecisions(Message, tag="sd"):
     """Keep these encoded decisions, so that they outlive their maker."""
 
@@ -348,6 +354,7 @@
     | RunCompletion
     | CompletionOutcome
     | CancelCompletion
+    | TellSuspects
     | StoreDecisions
     | FetchDecision
     | DecisionAnswer
--- a/src/crankseam/quarantine/model.py
+++ b/src/crankseam/quarantine/model.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from dataclasses import dataclass, field
 from functools import cached_property
 
@@ -97,6 +98,11 @@
         return FIRST_HOLD_S * HOLD_FACTOR**self.probes
 
 
+def name_of_end(back_end: str) -> str:
+    """Names one end of a back end that comes back under its own name."""
+    return f"{back_end}@{time.time():.3f}"
+
+
 def record_of(subject: TrialSubject, ended: list[str]) -> SuspectRecord:
     """What is first known of a request."""
     return SuspectRecord(
@@ -105,6 +111,16 @@
 
 
 class SuspectNews(msgspec.Struct, frozen=True):
-    """Records by fingerprint that the store has not taken yet."""
+    """What one process tells others of suspects.
+
+    Attributes
+    ==========
+
+    records : by fingerprint.
+    revisions : of those that the store holds, its revision; others wait for it.
+    released : fingerprints that are suspects no more.
+    """
 
-    records: dict[str, SuspectRecord]
+    records: dict[str, SuspectRecord] = {}
+    revisions: dict[str, int] = {}
+    released: list[str] = []
--- a/src/crankseam/quarantine/parts.py
+++ b/src/crankseam/quarantine/parts.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 
 from crankseam.coordination.follower import PrefixFollower
-from crankseam.coordination.interface import CoordinationStore
+from crankseam.coordination.interface import TransactionStore
 from crankseam.quarantine.publisher import PeerTeller, SuspectPublisher
 from crankseam.quarantine.quarantine import Quarantine
 from crankseam.quarantine.suspect_store import SuspectStore
@@ -33,11 +33,12 @@
 
 
 def make_quarantine(
-    store: CoordinationStore,
+    store: TransactionStore,
     state_prefix: str,
     tell_peers: PeerTeller,
     supervisor: Supervisor,
     is_sweeper: Callable[[], bool] = lambda: True,
+    is_followed: bool = True,
 ) -> QuarantineParts:
     """The quarantine of a process.
 
@@ -46,9 +47,10 @@
 
     state_prefix : the prefix that every process follows.
     is_sweeper : whether this process removes suspects whose time is over.
+    is_followed : whether every process follows the store's prefix of states.
     """
     suspects = SuspectStore(store, state_prefix)
     table = SuspectTable()
-    publisher = SuspectPublisher(suspects, table, tell_peers)
+    publisher = SuspectPublisher(suspects, table, tell_peers, is_followed)
     quarantine = Quarantine(suspects, table, publisher, supervisor.once, is_sweeper)
     return QuarantineParts(table, publisher, quarantine)
--- a/src/crankseam/quarantine/publisher.py
+++ b/src/crankseam/quarantine/publisher.py
@@ -39,12 +39,25 @@
     One write makes a suspect known: every process follows the store's prefix of states, and the
     record outlives them all. While the store does not answer, the other processes are told by
     messages, once for each change, and the write is tried until it is done.
+
+    Parameters
+    ==========
+
+    is_followed : whether every process follows the store; else peers are told of each change.
     """
 
-    def __init__(self, store: SuspectStore, table: SuspectTable, tell_peers: PeerTeller) -> None:
+    def __init__(
+        self,
+        store: SuspectStore,
+        table: SuspectTable,
+        tell_peers: PeerTeller,
+        is_followed: bool = True,
+    ) -> None:
         self._store = store
         self._table = table
         self._tell_peers = tell_peers
+        self._is_followed = is_followed
+        self._unannounced = SuspectNews()
         self._waiting: dict[str, SuspectRecord] = {}
         self._told: dict[str, SuspectRecord] = {}
         """What peers were told and the store has not taken, by fingerprint."""
@@ -67,13 +80,31 @@
         self._waiting.pop(fingerprint, None)
         self._told.pop(fingerprint, None)
 
+    def stored(self, fingerprint: str, record: SuspectRecord, revision: int) -> None:
+        """The store holds a record in this state: take it, and announce it if need be."""
+        self._table.take(fingerprint, record, revision)
+        if not self._is_followed:
+            self._unannounced.records[fingerprint] = record
+            self._unannounced.revisions[fingerprint] = revision
+            self._wake.set()
+
+    def released(self, fingerprint: str) -> None:
+        """It is no suspect any more: announce it if need be."""
+        self.withdraw(fingerprint)
+        if not self._is_followed:
+            self._unannounced.records.pop(fingerprint, None)
+            self._unannounced.released.append(fingerprint)
+            self._wake.set()
+
     async def run(self) -> None:
         """Publish until cancelled."""
         backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S)
         while True:
             await self._wake.wait()
             self._wake.clear()
-            if await self._write_all():
+            all_written = await self._write_all()
+            await self._announce()
+            if all_written:
                 backoff.reset()
                 continue
             await self._tell_news()
@@ -104,7 +135,7 @@
         dropped = [one for one in self._dropped if one != fingerprint][:MOST_DROPPED]
         stored, revision = await self._store.add(fingerprint, record, revision, dropped)
         self._dropped = [one for one in self._dropped if one not in dropped]
-        self._table.take(fingerprint, stored, revision)
+        self.stored(fingerprint, stored, revision)
         log.info(
             "suspect_stored",
             extra={
@@ -116,6 +147,12 @@
             },
         )
 
+    async def _announce(self) -> None:
+        """Tell the other processes what the store holds, where they do not follow it."""
+        news, self._unannounced = self._unannounced, SuspectNews()
+        if news.records or news.released:
+            await self._tell_peers(msgspec.msgpack.encode(news))
+
     async def _tell_news(self) -> None:
         """Tell the other processes what changed since they were told."""
         news = {
@@ -132,5 +169,11 @@
         """Take what another process tells."""
         news = msgspec.msgpack.decode(raw, type=SuspectNews)
         for fingerprint, record in news.records.items():
-            self._table.take_told(fingerprint, record)
+            revision = news.revisions.get(fingerprint, ABSENT)
+            if revision == ABSENT:
+                self._table.take_told(fingerprint, record)
+            else:
+                self._table.take(fingerprint, record, revision)
+        for fingerprint in news.released:
+            self._table.remove(fingerprint)
         return b""
--- a/src/crankseam/quarantine/quarantine.py
+++ b/src/crankseam/quarantine/quarantine.py
@@ -21,6 +21,7 @@
 """A store that has not answered a claim by then gives no probe."""
 ANSWERED = "answered"
 EXPIRED = "expired"
+BY_OPERATOR = "operator"
 FORGET_LOOK_S = 30.0
 """How often suspects whose time is over are looked for."""
 REMOVAL_TRIES = 6
@@ -59,6 +60,10 @@
         """Below which the store holds the suspects."""
         return self._store.prefix
 
+    def suspects(self) -> list[tuple[str, Suspect]]:
+        """All that are known, by fingerprint; those that changed last first."""
+        return sorted(self._table, key=lambda pair: pair[1].changed_at, reverse=True)
+
     def begin(self, subject: TrialSubject, most_ends: int) -> Trial:
         """The trial of a request that is about to be sent."""
         return Trial(self, subject, most_ends)
@@ -79,16 +84,17 @@
         """A back end answered a request whole: it ends nobody."""
         self.release(subject.fingerprint, ANSWERED)
 
-    def release(self, fingerprint: str, cause: str) -> None:
-        """It is no suspect any more, here at once and soon everywhere."""
+    def release(self, fingerprint: str, cause: str) -> bool:
+        """It is no suspect any more, here at once and soon everywhere; whether it was one."""
         suspect = self._table.find(fingerprint)
         if suspect is None:
-            return
+            return False
         self._table.remove(fingerprint)
-        self._publisher.withdraw(fingerprint)
+        self._publisher.released(fingerprint)
         log.info("suspect_released", extra={"fingerprint": fingerprint, "cause": cause})
         if suspect.revision != ABSENT:
             self._run_once(lambda: self._remove(fingerprint, suspect.revision), "release suspect")
+        return True
 
     async def _remove(self, fingerprint: str, revision: int) -> None:
         backoff = Backoff(RETRY_BASE_S, RETRY_CAP_S)
@@ -162,7 +168,7 @@
                 extra={"fingerprint": fingerprint, "error": type(error).__name__},
             )
             return False
-        self._table.take(fingerprint, record, changed)
+        self._publisher.stored(fingerprint, record, changed)
         return True
 
     # --- what the store says
@@ -180,6 +186,15 @@
             return
         self._table.take(fingerprint, record, entry.revision)
 
+    def take_all(self, entries: list[Entry]) -> None:
+        """Take a reading of all that the store holds."""
+        found = {self._store.fingerprint_of_key(entry.key) for entry in entries}
+        for fingerprint, suspect in self._table:
+            if fingerprint not in found and suspect.revision != ABSENT:
+                self._table.remove(fingerprint)
+        for entry in entries:
+            self.state_changed(entry.key, entry)
+
     async def run(self) -> None:
         """Forget suspects whose time is over, until cancelled."""
         while True:
--- a/src/crankseam/quarantine/suspect_store.py
+++ b/src/crankseam/quarantine/suspect_store.py
@@ -11,11 +11,11 @@
 from crankseam.coordination.interface import (
     ABSENT,
     Condition,
-    CoordinationStore,
     Entry,
     Put,
     Transaction,
     TransactionConflict,
+    TransactionStore,
 )
 from crankseam.quarantine.model import SuspectRecord
 
@@ -44,7 +44,7 @@
     state_prefix : the prefix that every process follows.
     """
 
-    def __init__(self, store: CoordinationStore, state_prefix: str) -> None:
+    def __init__(self, store: TransactionStore, state_prefix: str) -> None:
         self._store = store
         self.prefix = state_prefix + SUSPECT_FOLDER
 
--- a/src/crankseam/quarantine/trial.py
+++ b/src/crankseam/quarantine/trial.py
@@ -91,7 +91,8 @@
                 "seconds": round(retry_after_s, 3),
             },
         )
-        detail = f"{len(suspect.record.ended)} back ends ended under this request"
+        ended = ", ".join(suspect.record.ended)
+        detail = f"back ends ended under this request ({self.subject.fingerprint}): {ended}"
         raise RequestHeld(detail, OUTCOME_NOT_RUN, retry_after_s)
 
     def is_admitted(self) -> bool:
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -11,6 +11,7 @@
 
 from crankseam.back_end_probe import BackEndProbe
 from crankseam.backoff import RetryBudget
+from crankseam.clients.address_probe import refuses_connections
 from crankseam.config.kinds import BackEnd
 from crankseam.constants import (
     DEADLINE_HEADER,
@@ -22,13 +23,18 @@
 )
 from crankseam.decisions import Decision, DecisionLog
 from crankseam.errors import DeadlineExceeded, OutcomeUnknown, Unavailable
+from crankseam.quarantine.model import TrialSubject, name_of_end
+from crankseam.quarantine.quarantine import Quarantine
+from crankseam.quarantine.trial import Send, Trial
 from crankseam.requests.context import Answer, RequestContext
 from crankseam.requests.headers import end_to_end_headers
 from crankseam.routing import Choice, Router
+from crankseam.serving.tenants import NO_TENANT
 
 log = logging.getLogger(__name__)
 
 CHUNK_BYTES = 64 * 1024
+SERVER_ERROR = 500
 MIN_REMAINING_SECONDS = 0.005
 """A request with less time than this left is not forwarded any more."""
 RETRY_NO_BACK_END_SECONDS = 1.0
@@ -37,6 +43,19 @@
 RETRY_RESERVE = 20.0
 
 
+def _subject(context: RequestContext) -> TrialSubject:
+    http = context.http
+    return TrialSubject(
+        context.request_id,
+        NO_TENANT,
+        context.service_name,
+        http.method,
+        context.service_name,
+        http.raw_path,
+        context.body,
+    )
+
+
 class _NotSent(Exception):
     """The back end refused the connection: not one byte of the request was sent."""
 
@@ -56,8 +75,10 @@
         decisions: DecisionLog,
         may_send: Callable[[], bool],
         probe: BackEndProbe,
+        quarantine: Quarantine,
     ) -> None:
         self._probe = probe
+        self._quarantine = quarantine
         self._session = session
         self._may_send = may_send
         self._router = router
@@ -67,6 +88,15 @@
     async def __call__(self, context: RequestContext) -> Answer:
         """Forward; raises Problem when there is no answer to give."""
         self._budget.count_attempt()
+        service = context.require_service()
+        trial = self._quarantine.begin(_subject(context), service.crash_limit)
+        await trial.admit()
+        try:
+            return await self._attempt_until_answered(context, trial)
+        finally:
+            trial.close()
+
+    async def _attempt_until_answered(self, context: RequestContext, trial: Trial) -> Answer:
         tried: set[str] = set()
         while True:
             choice = self._choose(context, frozenset(tried))
@@ -77,11 +107,12 @@
                 tried.add(choice.back_end.name)
                 continue
             try:
-                return await self._attempt(context, choice.back_end)
+                with trial.sending() as send:
+                    return await self._attempt(context, choice.back_end, send)
             except _NotSent:
                 tried.add(choice.back_end.name)
             except OutcomeUnknown:
-                if context.must_not_repeat or context.answer_started:
+                if context.must_not_repeat or context.answer_started or not trial.may_send():
                     raise
                 tried.add(choice.back_end.name)
             if not self._budget.try_spend():
@@ -112,7 +143,7 @@
         self._decisions.record(decision)
         return decision
 
-    async def _attempt(self, context: RequestContext, back_end: BackEnd) -> Answer:
+    async def _attempt(self, context: RequestContext, back_end: BackEnd, send: Send) -> Answer:
         target = f"{context.service_name}/{back_end.name}"
         # Directly before the first byte: this process may have been stopped since the choice.
         if not self._may_send():
@@ -125,14 +156,19 @@
         self._router.start(target)
         try:
             async with asyncio.timeout(remaining):
-                return await self._send(context, back_end, remaining)
+                answer = await self._send(context, back_end, remaining)
+            send.was_answered = answer.status < SERVER_ERROR
+            return answer
         except aiohttp.ClientConnectorError as error:
+            send.was_not_run = True
             self._router.fail_connection(target)
             raise _NotSent from error
         except TimeoutError:
             raise OutcomeUnknown("no answer before the deadline", OUTCOME_UNKNOWN)
         except (aiohttp.ClientError, ConnectionError) as error:
             self._router.fail_connection(target)
+            if await refuses_connections(back_end.address):
+                send.ended_id = name_of_end(back_end.name)
             raise OutcomeUnknown(f"connection broke: {type(error).__name__}", OUTCOME_UNKNOWN)
         finally:
             self._router.finish(target)
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -9,11 +9,15 @@
 
 from crankseam.back_end_probe import BackEndProbe
 from crankseam.backoff import Backoff
+from crankseam.clients.address_probe import refuses_connections
 from crankseam.clients.sampler import CompletionRequest
 from crankseam.config.kinds import BackEnd, Limit, SamplerPool, Trainer
 from crankseam.controllers.limit_shares import LimitShareController
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
+from crankseam.quarantine.model import TrialSubject, name_of_end
+from crankseam.quarantine.quarantine import Quarantine
+from crankseam.quarantine.trial import Send, Trial
 from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.messages import (
     SampleRequest,
@@ -23,6 +27,7 @@
     oldest_version,
 )
 from crankseam.routing import Choice, Router
+from crankseam.serving.tenants import NO_TENANT
 
 log = logging.getLogger(__name__)
 
@@ -85,6 +90,13 @@
         )
 
 
+def _subject(job: SampleJob, wanted: GenerationTarget) -> TrialSubject:
+    """What a sampler is asked for; samples of one prompt are alike."""
+    prompt = f"{job.request.max_tokens} {job.request.prompt}".encode()
+    name = job.name(wanted.trainer.name)
+    return TrialSubject(name, NO_TENANT, wanted.pool.name, "POST", wanted.pool.name, "", prompt)
+
+
 @dataclass(frozen=True)
 class GenerationTarget:
     """What a sample is generated for, as the configuration and the trainer say now."""
@@ -124,8 +136,10 @@
         may_send: Callable[[], bool],
         shares: LimitShareController,
         probe: BackEndProbe,
+        quarantine: Quarantine,
     ) -> None:
         self._probe = probe
+        self._quarantine = quarantine
         self._shares = shares
         self._executors = executors
         self._may_send = may_send
@@ -140,10 +154,25 @@
         Args:
             target: asked anew for each attempt, since versions and configuration move on.
         """
+        wanted = target()
+        trial = self._quarantine.begin(_subject(job, wanted), wanted.pool.crash_limit)
+        try:
+            return await self._attempt_until_whole(job, generation, target, trial)
+        finally:
+            trial.abandon()
+
+    async def _attempt_until_whole(
+        self,
+        job: SampleJob,
+        generation: int,
+        target: Callable[[], GenerationTarget],
+        trial: Trial,
+    ) -> SampleResult:
         backoff = Backoff(WAIT_FOR_SAMPLER_BASE, WAIT_FOR_SAMPLER_CAP)
         while True:
+            await trial.wait_admitted()
             wanted = target()
-            decision = await self._attempt_within_limit(job, wanted)
+            decision = await self._attempt_within_limit(job, wanted, trial)
             if decision is None:
                 await asyncio.sleep(WAIT_FOR_SAMPLER_BASE + backoff.next_delay())
                 continue
@@ -152,20 +181,20 @@
                 return job.result(wanted.trainer.name, generation, decision.decision_id)
 
     async def _attempt_within_limit(
-        self, job: SampleJob, wanted: GenerationTarget
+        self, job: SampleJob, wanted: GenerationTarget, trial: Trial
     ) -> Decision | None:
         """One attempt, if the pool's limit has room; None if nothing could be started."""
         if wanted.limit is None:
-            return await self._choose_and_attempt(job, wanted)
+            return await self._choose_and_attempt(job, wanted, trial)
         if not await self._shares.acquire(wanted.limit):
             return None
         try:
-            return await self._choose_and_attempt(job, wanted)
+            return await self._choose_and_attempt(job, wanted, trial)
         finally:
             self._shares.share_of(wanted.limit).release()
 
     async def _choose_and_attempt(
-        self, job: SampleJob, wanted: GenerationTarget
+        self, job: SampleJob, wanted: GenerationTarget, trial: Trial
     ) -> Decision | None:
         if not self._may_send():
             return None
@@ -179,7 +208,12 @@
             self._router.fail_connection(f"{wanted.pool.name}/{sampler.name}")
             return None
         self._decisions.record(decision)
-        await self._attempt(job, sampler, wanted)
+        tokens_before = len(job.tokens)
+        with trial.sending() as send:
+            await self._attempt(job, sampler, wanted, send)
+        if len(job.tokens) > tokens_before:
+            trial.progressed()
+        trial.report_if_held()
         return decision
 
     def has_eligible(self, wanted: GenerationTarget) -> bool:
@@ -216,7 +250,9 @@
             return self._router.take_turns(pool.name, pool.samplers, eligible)
         return self._router.choose(pool.name, pool.samplers, eligible)
 
-    async def _attempt(self, job: SampleJob, sampler: BackEnd, wanted: GenerationTarget) -> None:
+    async def _attempt(
+        self, job: SampleJob, sampler: BackEnd, wanted: GenerationTarget, send: Send
+    ) -> None:
         """Generate on one sampler until it ends or breaks off; the job keeps what came."""
         target = f"{wanted.pool.name}/{sampler.name}"
         completion = CompletionRequest(
@@ -233,6 +269,9 @@
             self._router.finish(target)
         if outcome.refused or outcome.broke:
             self._router.fail_connection(target)
+        send.was_not_run = outcome.refused
+        if outcome.broke and not outcome.tokens and await refuses_connections(sampler.address):
+            send.ended_id = name_of_end(sampler.name)
         if outcome.broke:
             log.info("sample broke off", extra={"sampler": sampler.name, "error": outcome.broke})
         if not outcome.refused:
--- a/src/crankseam_standins/app.py
+++ b/src/crankseam_standins/app.py
@@ -6,6 +6,7 @@
 import hashlib
 import random
 import time
+from collections.abc import Callable
 
 from aiohttp import web
 
@@ -31,6 +32,9 @@
         self._random = random.Random(name)
         self._running = 0
         self._account = account
+        self.ended_by = b""
+        """If set, a body that holds this ends the back end when it begins to run it."""
+        self.on_end: Callable[[], None] = lambda: None
 
     def application(self) -> web.Application:
         """The HTTP application."""
@@ -53,6 +57,8 @@
                 "leaving": self.faults.leaving,
             }
         )
+        if self.ended_by and self.ended_by in body:
+            self.on_end()
         self._running += 1
         try:
             if self._work_seconds:
