--- a/tests/support/memory_cluster.py
+++ b/tests/support/memory_cluster.py
@@ -17,12 +17,14 @@
 
 
 class MemoryCluster:
-    """Stores by identity. `lose(caller, target, message)` decides on requests and answers."""
+    """Stores by identity. `lose_request` and `lose_answer` decide on the loss of each call, and
+    `delay_s` on how long its request is under way, all from (caller, target, message)."""
 
     def __init__(self, identities: list[str]) -> None:
         self.stores: dict[str, ReplicaStore] = {}
         self.lose_request = lambda caller, target, message: False
         self.lose_answer = lambda caller, target, message: False
+        self.delay_s = lambda caller, target, message: 0.0
         for identity in identities:
             self.add(identity)
 
@@ -43,7 +45,7 @@
         if self.lose_request(caller, target, message):
             raise PeerTimeout(target)
         store = self.stores[target]
-        await asyncio.sleep(0)
+        await asyncio.sleep(self.delay_s(caller, target, message))
         answer = await store.handlers()[type(message)](caller, message)  # type: ignore[arg-type]
         if self.lose_answer(caller, target, message):
             raise PeerTimeout(target)
