Records: answers of a round are taken in the order of the members, not of a set

Cause: the proposer walked a set of tasks, whose order hangs on addresses in memory; which of several values at one ballot came first hung on it.

--- a/src/crankseam/records/proposer.py
+++ b/src/crankseam/records/proposer.py
@@ -257,9 +257,10 @@
             grace: once a majority gave a good answer, wait at most this long for the others.
         """
         answers: dict[str, AnyMessage] = {}
-        pending = {
+        asked = [
             asyncio.create_task(self._ask_one(member, message)) for member in replica_set.members
-        }
+        ]
+        pending = set(asked)
         good = 0
         while pending and good < needed:
             patience = grace if good >= majority(replica_set) else None
@@ -268,7 +269,9 @@
             )
             if not finished:
                 break
-            for task in finished:
+            # In the order of the members: a set's order hangs on addresses in memory, so that a
+            # failure could not be played again.
+            for task in (task for task in asked if task in finished):
                 member, answer = task.result()
                 if answer is not None:
                     answers[member] = answer
