Test: the record machine runs on a clock of its own and draws slow messages (fails)

Symptom: its verdict hung on wall time. Examples (250), steps (40) and checks stay; it has one rule and one drawn figure more. On the code before the mend it fails within its 250 examples, the same in two runs in a row: begin(seed=109, slow=0.5), finish_moves() twice, write_at_once(count=3, fast=True), finish_moves(): 'record-0 lost {3}'.

--- a/tests/records/test_record_machine.py
+++ b/tests/records/test_record_machine.py
@@ -1,6 +1,11 @@
-"""State machine over records: lost and late messages, crashes, moves, in any order.
+"""State machine over records: lost, slow and late messages, crashes, moves, in any order.
 
 Invariant: what a caller was told is agreed stays agreed, and every reader sees it.
+
+It runs on a clock of its own, so that its verdict is the same each time: that the fast round stops
+waiting for a slow replica is drawn like any other event. On the clock of the machine that came only
+beside load, and with it the fault of `test_fast_round_reads`: 16 of about 40 random seeds failed
+with fourteen such processes on 8 cores, and 0 of 3 runs alone.
 """
 
 import asyncio
@@ -13,12 +18,16 @@
 
 from crankseam.errors import RecordError
 from crankseam.peers.messages import Accept, Prepare, ReplicaSet
-from crankseam.records.proposer import RecordKey
+from crankseam.records.proposer import FAST_ROUND_GRACE_S, RecordKey
 from crankseam.records.slots import majority
 from tests.support.memory_cluster import MemoryCluster
+from tests.support.virtual_clock import VirtualClockLoop
 
 KEYS = [RecordKey(0, f"record-{number}", 1000) for number in range(2)]
 MAX_LATE = 200
+DELAYS_S = [0.0, 0.5 * FAST_ROUND_GRACE_S, 1.5 * FAST_ROUND_GRACE_S, 3 * FAST_ROUND_GRACE_S]
+"""Ways of a slow message: the fast round's grace lapses over the longer two. A few fixed ones, so
+that answers also arrive at the same moment."""
 
 
 def decode(value):
@@ -28,23 +37,26 @@
 class RecordMachine(RuleBasedStateMachine):
     """Each change adds an entry of its own to a list, so that no agreed change can be missed."""
 
-    @initialize(seed=st.integers(0, 2**32))
-    def begin(self, seed):
+    @initialize(seed=st.integers(0, 2**32), slow=st.sampled_from([0.0, 0.2, 0.5]))
+    def begin(self, seed, slow):
         self.random = random.Random(seed)
-        self.loop = asyncio.new_event_loop()
+        self.loop = VirtualClockLoop()
         self.cluster = MemoryCluster([f"{name}@1" for name in "abcde"])
         self.current: ReplicaSet = self.cluster.found(["a@1", "b@1", "c@1"])
         self.runs = dict.fromkeys("abcde", 1)
         self.loss = 0.0
+        self.slow = slow
         self.late = []
         self.entries = 0
         self.agreed = {where.key: [] for where in KEYS}
         self.clients = [self.cluster.client(f"p{n}@1", self.current) for n in range(3)]
         self.cluster.lose_request = self._lose_request
         self.cluster.lose_answer = lambda *_args: self.random.random() < self.loss
+        self.cluster.delay_s = self._delay_s
 
     def teardown(self):
         if hasattr(self, "loop"):
+            self._run(asyncio.sleep(2 * max(DELAYS_S)))  # calls that nobody waits for any more end
             self.loop.close()
 
     def _lose_request(self, caller, target, message):
@@ -53,6 +65,10 @@
                 self.late.append((caller, target, message))  # a copy that arrives much later
         return self.random.random() < self.loss
 
+    def _delay_s(self, _caller, _target, _message):
+        is_slow = self.random.random() < self.slow
+        return self.random.choice(DELAYS_S) if is_slow else 0.0
+
     def _run(self, work):
         return self.loop.run_until_complete(work)
 
@@ -92,6 +108,10 @@
     def set_loss(self, loss):
         self.loss = loss
 
+    @rule(slow=st.sampled_from([0.0, 0.2, 0.5]))
+    def set_slow(self, slow):
+        self.slow = slow
+
     @rule(count=st.integers(1, 4), fast=st.booleans())
     def write_at_once(self, count, fast):
         async def work():
