Records: a value at the fast ballot is agreed only where all replicas hold the same one

Symptom: a read told one caller a value and the next one another; record-0 lost {3} in the record machine. Cause: agreed_by_majority compared ballots, not values. A classic ballot belongs to one proposer and one value; the fast ballot is everybody's, so three replicas may hold three values at it. Change: the answers are compared whole.

--- a/src/crankseam/records/agreement.py
+++ b/src/crankseam/records/agreement.py
@@ -2,12 +2,13 @@
 
 Inputs: the answers of the replicas to one round, each with the ballot at which it accepted a value.
 Rule: what a majority accepted at one ballot is agreed. The fast ballot counts only with all
-replicas, since two fast quorums of a majority need not meet. A proposer continues with the value
+replicas, since two fast quorums of a majority need not meet, and only where all hold the same
+value: unlike other ballots it belongs to no single proposer. A proposer continues with the value
 accepted at the highest ballot that a majority told it of.
 Protects: a value that was agreed once is never replaced by another that was not made from it.
 Shown by: what records say (`crankseam explain`). Held by: tests/records/test_agreement.py,
-tests/records/test_proposer.py, tests/records/test_record_machine.py; docs/design/04-records.md
-weighs the ways.
+tests/records/test_fast_round_reads.py, tests/records/test_small_worlds.py,
+tests/records/test_record_machine.py; docs/design/04-records.md weighs the ways.
 """
 
 from __future__ import annotations
@@ -21,7 +22,7 @@
 def agreed_by_majority(
     replica_set: ReplicaSet, answers: Mapping[str, AnyMessage]
 ) -> Promise | None:
-    """What a majority holds at one ballot, or that it holds nothing at all.
+    """The value that a majority holds at one ballot, or that it holds nothing at all.
 
     None where that is not known from these answers; it needs a full round then.
     """
@@ -29,7 +30,7 @@
     if len(promises) < majority(replica_set):
         return None
     first = promises[0]
-    if any(promise.accepted != first.accepted for promise in promises):
+    if any(promise != first for promise in promises):
         return None
     if first.accepted == FAST_BALLOT and len(promises) < len(replica_set.members):
         return None
