Records: each ballot of an epoch stands above every ballot of the epochs before it

Symptom: with two movers of one slot a reader was told 'v,x' after 'v,w' had been agreed. Cause: each mover installs the highest ballots of the majority that it read, and two majorities may hold different values, both in order; ballots of the new epoch were compared with those, and a young proposer's lower one lost. Change: rounds are counted within an epoch, each of which has 2^32 of its own. The wire is as before; a build that counts otherwise is told the higher round when it is rejected.

--- a/src/crankseam/records/proposer.py
+++ b/src/crankseam/records/proposer.py
@@ -39,6 +39,10 @@
 FAST_ROUND_GRACE_S = 0.02
 """How long the fast round waits for the last replicas once a majority accepted; several round trips
 between zones (docs/design/04-records.md). Origin not recorded."""
+ROUNDS_PER_EPOCH = 2**32
+"""Rounds that an epoch's ballots have for themselves, so that each ballot of an epoch is above each
+of the epochs before it. Two movers may install different values of the old epoch, both in order; what
+is agreed in the new epoch must stand above either. Far more than a process tries in its life."""
 RETRY_BASE_S = 0.005
 """Upper bound of the pause after the first lost round; it doubles with each. Origin not
 recorded."""
@@ -72,7 +76,7 @@
 
 @dataclass
 class OwnedBallot:
-    """A ballot whose promise a majority gave this proposer with its last write."""
+    """A ballot that all replicas promised this proposer with its fast write."""
 
     epoch: int
     ballot: Ballot
@@ -98,7 +102,8 @@
         self._caller = caller
         self._slots = slots
         self._timeout = timeout
-        self._highest_round = 1
+        self._tries = 1
+        """Rounds used or heard of, within an epoch."""
         self._random = random.Random(identity)
         self._late: set[asyncio.Task] = set()
 
@@ -173,8 +178,7 @@
 
     async def _change_once(self, where: RecordKey, change: Change) -> bytes | None:
         replica_set = self._require_set(where)
-        self._highest_round += 1
-        ballot = Ballot(self._highest_round, self._identity)
+        ballot = self._next_ballot(replica_set)
         current = await self._prepare(where, replica_set, ballot)
         value = change(current)
         if value is None:
@@ -185,6 +189,15 @@
             raise Contention(where.key)
         return value
 
+    def _next_ballot(self, replica_set: ReplicaSet) -> Ballot:
+        self._tries += 1
+        return Ballot(replica_set.epoch * ROUNDS_PER_EPOCH + self._tries, self._identity)
+
+    def _learn_ballot(self, replica_set: ReplicaSet, promised: Ballot) -> None:
+        """Try above a ballot that stood in the way; that of an earlier epoch or build is lower."""
+        heard = promised.round - replica_set.epoch * ROUNDS_PER_EPOCH
+        self._tries = max(self._tries, heard)
+
     async def _prepare(
         self, where: RecordKey, replica_set: ReplicaSet, ballot: Ballot
     ) -> bytes | None:
@@ -216,7 +229,7 @@
         self._raise_if_expired(answers)
         rejected = [answer for answer in answers.values() if isinstance(answer, Rejected)]
         for answer in rejected:
-            self._highest_round = max(self._highest_round, answer.promised.round)
+            self._learn_ballot(replica_set, answer.promised)
         self._learn_newer_set(replica_set, answers)
         if rejected:
             raise Contention(where.key)
