Records: a slot's next set is agreed by the old set alone, and an epoch ends by one set

Symptom: two sets of one epoch served after a replica that a move had not reached moved the slot too. Cause: the proposer follows to the newest epoch it knows, so the register of the next set was written in the new epoch, where the first choice was not kept; sealed replicas followed a second set. Change: change_within asks one set only and raises SlotMoved; a sealed replica refuses another set; a replica that missed a move ends its epoch by the set it heard of and is brought in by what a serving member holds (before, it came in by the same accident, or stayed out until the next move).

--- a/src/crankseam/controllers/replica_placement.py
+++ b/src/crankseam/controllers/replica_placement.py
@@ -8,7 +8,7 @@
 once. A node makes one move at a time, and completes moves that were left half done.
 Protects: each slot keeps replicas on living nodes in distinct zones, with no more traffic of moving
 than one slot a node.
-Shown by: `slot moved`, `slot not moved`, `slot_moves`. Held by:
+Shown by: `slot moved`, `slot not moved`, `slot overtaken`, `slot_moves`. Held by:
 tests/controllers/test_replica_placement.py, tests/cluster/test_membership.py,
 tests/test_node_machine.py.
 """
@@ -22,7 +22,7 @@
 
 from crankseam.cluster.agent import ClusterAgent
 from crankseam.cluster.digest import MemberStatus
-from crankseam.errors import RecordError
+from crankseam.errors import RecordError, SlotMoved
 from crankseam.peers.messages import ReplicaSet
 from crankseam.records.reconfigurer import Reconfigurer
 from crankseam.records.slots import desired_members, rank
@@ -124,6 +124,9 @@
     async def _move(self, replica_set: ReplicaSet) -> None:
         try:
             moved = await self._reconfigurer.move(replica_set, self._best_members(replica_set.slot))
+        except SlotMoved:
+            self._end_overtaken(replica_set)
+            return
         except RecordError as error:
             # Tried again at the next tick; the delay counts from now.
             self._unfit_since[replica_set.slot] = time.monotonic()
@@ -137,6 +140,15 @@
         self._drop_if_not_member(moved)
         self._agent.membership.nudge()
 
+    def _end_overtaken(self, replica_set: ReplicaSet) -> None:
+        """Another moved the slot without reaching this replica; what is left to do comes later."""
+        self._unfit_since.pop(replica_set.slot, None)
+        newest = self._agent.digest.slots.get(replica_set.slot)
+        if newest is None:
+            return
+        self._agent.replicas.end_epoch(newest)
+        log.info("slot overtaken", extra={"slot": newest.slot, "epoch": newest.epoch})
+
     def _drop_if_not_member(self, replica_set: ReplicaSet) -> None:
         if self._agent.identity not in replica_set.members:
             self._agent.replicas.drop(replica_set.slot)
--- a/src/crankseam/errors.py
+++ b/src/crankseam/errors.py
@@ -98,6 +98,10 @@
     """Fewer than a majority of the replicas answered; the change may have taken effect."""
 
 
+class SlotMoved(RecordError):
+    """The record's slot has a newer replica set than the one that was to be asked."""
+
+
 class RecordExpired(RecordError):
     """The record's id is older than what the replicas still remember."""
 
--- a/src/crankseam/records/proposer.py
+++ b/src/crankseam/records/proposer.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from crankseam.errors import Contention, NoQuorum, PeerError, RecordExpired
+from crankseam.errors import Contention, NoQuorum, PeerError, RecordExpired, SlotMoved
 from crankseam.peers.messages import (
     FAST_BALLOT,
     Accept,
@@ -159,9 +159,29 @@
         """
         for attempt in range(MAX_ROUNDS):
             try:
-                return await self._change_once(where, change)
+                return await self._change_once(where, self._require_set(where), change)
             except (_EpochChanged, Contention):
-                await asyncio.sleep(self._random.uniform(0, RETRY_BASE_S * 2**attempt))
+                await self._pause(attempt)
+        raise Contention(where.key)
+
+    async def change_within(
+        self, replica_set: ReplicaSet, where: RecordKey, change: Change
+    ) -> bytes | None:
+        """Like `change`, but by the replicas of this set only: it follows to no newer one.
+
+        Raises:
+            SlotMoved: the slot has a newer set.
+            NoQuorum, Contention, RecordExpired: as with `change`.
+        """
+        for attempt in range(MAX_ROUNDS):
+            if self._require_set(where).epoch > replica_set.epoch:
+                raise SlotMoved(where.slot)
+            try:
+                return await self._change_once(where, replica_set, change)
+            except _EpochChanged as changed:
+                raise SlotMoved(where.slot) from changed
+            except Contention:
+                await self._pause(attempt)
         raise Contention(where.key)
 
     async def read(self, where: RecordKey) -> bytes | None:
@@ -176,8 +196,12 @@
 
     # --- rounds
 
-    async def _change_once(self, where: RecordKey, change: Change) -> bytes | None:
-        replica_set = self._require_set(where)
+    async def _pause(self, attempt: int) -> None:
+        await asyncio.sleep(self._random.uniform(0, RETRY_BASE_S * 2**attempt))
+
+    async def _change_once(
+        self, where: RecordKey, replica_set: ReplicaSet, change: Change
+    ) -> bytes | None:
         ballot = self._next_ballot(replica_set)
         current = await self._prepare(where, replica_set, ballot)
         value = change(current)
--- a/src/crankseam/records/reconfigurer.py
+++ b/src/crankseam/records/reconfigurer.py
@@ -51,6 +51,7 @@
 
         Raises:
             NoQuorum: too few replicas of the old or new set answered; it can be tried again.
+            SlotMoved: the slot has a newer set than `current`.
         """
         agreed = await self._agree(current, members)
         state = await self._seal(current, agreed)
@@ -61,28 +62,43 @@
 
     async def finish(self, old: ReplicaSet, agreed: ReplicaSet) -> None:
         """Complete a move that its maker may have left half done; harmless if it is complete."""
-        if await self.is_installed(agreed):
-            return
-        state = await self._seal(old, agreed)
-        await self._install(agreed, state)
-
-    async def is_installed(self, replica_set: ReplicaSet) -> bool:
-        """Whether a majority of the set serves its epoch."""
+        serving = await self._serving(agreed)
+        if len(serving) < majority(agreed):
+            state = await self._seal(old, agreed)
+            await self._install(agreed, state)
+        elif len(serving) < len(agreed.members):
+            await self._bring_in(old, agreed, serving)
+
+    async def _serving(self, replica_set: ReplicaSet) -> list[str]:
+        """Members that serve the set's epoch."""
         probe = ReadRecord(replica_set.slot, replica_set.epoch, NEXT_SET_KEY)
         answers = await asyncio.gather(*(self._ask(m, probe) for m in replica_set.members))
-        serving = sum(isinstance(answer, Promise) for answer in answers)
-        return serving >= majority(replica_set)
+        pairs = zip(replica_set.members, answers, strict=True)
+        return [member for member, answer in pairs if isinstance(answer, Promise)]
+
+    async def _bring_in(self, old: ReplicaSet, agreed: ReplicaSet, serving: list[str]) -> None:
+        """Install on the members that lag what one serving member holds.
+
+        It is as if they had received the same installation and the same Accepts as that member; until
+        then they had no vote, so that no majority hangs on what they lack.
+        """
+        state = await self._read_state(serving[0], old, agreed)
+        if state is None:
+            return  # the caller finishes again later
+        pages = split_pages(without_moves(state))
+        lagging = [member for member in agreed.members if member not in serving]
+        await asyncio.gather(*(self._send_pages(m, agreed, pages) for m in lagging))
 
     async def _agree(self, current: ReplicaSet, members: list[str]) -> ReplicaSet:
         proposed = ReplicaSet(current.slot, current.epoch + 1, members, current.floor)
         where = RecordKey(current.slot, f"{NEXT_SET_KEY}/{current.epoch}", UNDATED)
         encoded = msgspec.msgpack.encode(proposed)
-        value = await self._proposer.change(where, lambda standing: standing or encoded)
+        # By the old set alone: a majority of a newer set would agree on a second set of this epoch.
+        value = await self._proposer.change_within(
+            current, where, lambda standing: standing or encoded
+        )
         assert value is not None
-        agreed = msgspec.msgpack.decode(value, type=ReplicaSet)
-        if agreed.epoch != current.epoch + 1:
-            raise NoQuorum(f"slot {current.slot} has moved on")
-        return agreed
+        return msgspec.msgpack.decode(value, type=ReplicaSet)
 
     async def _seal(self, current: ReplicaSet, agreed: ReplicaSet) -> SlotState:
         """Seal a majority of the old set and merge what its members hold."""
@@ -155,5 +171,10 @@
             if standing is None or standing.accepted < record.accepted:
                 merged[record.key] = record
     forgotten = max(state.forgotten for state in states)
-    kept = [record for record in merged.values() if not record.key.startswith(NEXT_SET_KEY)]
-    return SlotState(kept, forgotten)
+    return without_moves(SlotState(list(merged.values()), forgotten))
+
+
+def without_moves(state: SlotState) -> SlotState:
+    """The state without the registers of its epoch's own move."""
+    kept = [record for record in state.records if not record.key.startswith(NEXT_SET_KEY)]
+    return SlotState(kept, state.forgotten)
--- a/src/crankseam/records/replica.py
+++ b/src/crankseam/records/replica.py
@@ -203,10 +203,20 @@
             return self._page(slot, message.after)
         if slot.replica_set.epoch != message.epoch:
             return StaleEpoch(slot.replica_set)
+        if slot.sealed_by not in (None, message.next_set):
+            return StaleEpoch(slot.sealed_by)  # an epoch is ended by one set only
         slot.sealed_by = message.next_set
         self._learn(message.next_set)
         return self._page(slot, message.after)
 
+    def end_epoch(self, newer: ReplicaSet) -> None:
+        """Seal a slot that moved without reaching this replica: its newer set was agreed."""
+        slot = self.slots.get(newer.slot)
+        if slot is None or slot.sealed_by is not None:
+            return
+        if slot.replica_set.epoch < newer.epoch:
+            slot.sealed_by = newer
+
     @staticmethod
     def _page(slot: Slot, after: str) -> SlotState:
         """Registers after a key, up to a page full. A sealed slot does not change meanwhile."""
--- a/tests/records/test_two_movers.py
+++ b/tests/records/test_two_movers.py
@@ -85,6 +85,25 @@
     assert {tuple(s.members) for s in held if s.epoch == moved.epoch} == {tuple(moved.members)}
 
 
+async def test_a_member_that_the_move_missed_is_brought_in_by_what_another_member_holds(cluster):
+    first_set = cluster.found(OLD)
+    mover = cluster.client("p@1", first_set)
+    await mover.proposer.change(WHERE, lambda _standing: b"v")
+    cluster.lose_request = lambda _caller, target, message: (
+        isinstance(message, Seal | Install) and target == "b@1"
+    )
+    moved = await mover.reconfigurer.move(first_set, ["b@1", "d@1", "e@1"])
+    await mover.proposer.change(WHERE, lambda standing: standing + b",w")
+
+    cluster.lose_request = lambda *_args: False
+    cluster.stores["b@1"].end_epoch(moved)
+    [(old, agreed)] = cluster.stores["b@1"].sealed()
+    await cluster.client("b@1", moved).reconfigurer.finish(old, agreed)
+    assert cluster.stores["b@1"].sealed() == []
+    cluster.lose_request = lambda _caller, target, _message: target == "d@1"
+    assert await cluster.client("r@1", moved).proposer.read(WHERE) == b"v,w"
+
+
 async def test_a_sealed_replica_keeps_to_the_set_that_sealed_it(cluster):
     first_set = cluster.found(OLD)
     mover = cluster.client("p@1", first_set)
