Records: a promised ballot writes once

Symptom: an owner could write two values at the ballot that its fast write was promised. Cause: nothing kept overwrite from being called again; replicas take an equal ballot as their own proposal. The one caller (requests/claim.py) wrote once already, so no deployed case is known. Change: the ballot remembers its use. Before: test_a_promised_ballot_writes_once failed. After: passes.

--- a/src/crankseam/records/proposer.py
+++ b/src/crankseam/records/proposer.py
@@ -76,11 +76,15 @@
 
 @dataclass
 class OwnedBallot:
-    """A ballot that all replicas promised this proposer with its fast write."""
+    """A ballot that all replicas promised this proposer with its fast write; for one write.
+
+    With two values at one ballot, what a majority accepted could not be told from what it did not.
+    """
 
     epoch: int
     ballot: Ballot
     value: bytes
+    is_used: bool = False
 
 
 class _EpochChanged(Exception):
@@ -142,8 +146,9 @@
         False means that it was overtaken or that no majority answered: use `change` then.
         """
         replica_set = self._require_set(where)
-        if replica_set.epoch != owned.epoch:
+        if owned.is_used or replica_set.epoch != owned.epoch:
             return False  # promises do not outlive their epoch
+        owned.is_used = True
         try:
             return await self._accept(where, replica_set, owned.ballot, value)
         except (_EpochChanged, NoQuorum):
