--- a/src/crankseam/records/agreement.py
+++ b/src/crankseam/records/agreement.py
@@ -15,9 +15,15 @@
 
 from collections.abc import Mapping, Sequence
 
-from crankseam.peers.messages import FAST_BALLOT, AnyMessage, Promise, ReplicaSet
+from crankseam.peers.messages import FAST_BALLOT, AnyMessage, Ballot, Promise, ReplicaSet
 from crankseam.records.slots import majority
 
+ROUNDS_PER_EPOCH = 2**32
+"""Rounds that an epoch's ballots have for themselves, so that each ballot of an epoch is above
+each of the epochs before it. Two movers may install different values of the old epoch, both in
+order; what is agreed in the new epoch must stand above either. Far more than a process tries in
+its life."""
+
 
 def agreed_by_majority(
     replica_set: ReplicaSet, answers: Mapping[str, AnyMessage]
@@ -44,3 +50,13 @@
         return None
     newest = max(accepted, key=lambda promise: promise.accepted or FAST_BALLOT)
     return newest.value
+
+
+def ballot_of(replica_set: ReplicaSet, tries: int, identity: str) -> Ballot:
+    """A proposer's ballot for its try of this number in the set's epoch."""
+    return Ballot(replica_set.epoch * ROUNDS_PER_EPOCH + tries, identity)
+
+
+def tries_behind(replica_set: ReplicaSet, promised: Ballot) -> int:
+    """The try behind a ballot; below 1 for one of an earlier epoch or build."""
+    return promised.round - replica_set.epoch * ROUNDS_PER_EPOCH
--- a/src/crankseam/records/proposer.py
+++ b/src/crankseam/records/proposer.py
@@ -30,7 +30,12 @@
     ReplicaSet,
     StaleEpoch,
 )
-from crankseam.records.agreement import agreed_by_majority, value_to_continue
+from crankseam.records.agreement import (
+    agreed_by_majority,
+    ballot_of,
+    tries_behind,
+    value_to_continue,
+)
 from crankseam.records.slots import SlotTable, majority
 
 MAX_ROUNDS = 8
@@ -39,10 +44,6 @@
 FAST_ROUND_GRACE_S = 0.02
 """How long the fast round waits for the last replicas once a majority accepted; several round trips
 between zones (docs/design/04-records.md). Origin not recorded."""
-ROUNDS_PER_EPOCH = 2**32
-"""Rounds that an epoch's ballots have for themselves, so that each ballot of an epoch is above each
-of the epochs before it. Two movers may install different values of the old epoch, both in order; what
-is agreed in the new epoch must stand above either. Far more than a process tries in its life."""
 RETRY_BASE_S = 0.005
 """Upper bound of the pause after the first lost round; it doubles with each. Origin not
 recorded."""
@@ -220,12 +221,11 @@
 
     def _next_ballot(self, replica_set: ReplicaSet) -> Ballot:
         self._tries += 1
-        return Ballot(replica_set.epoch * ROUNDS_PER_EPOCH + self._tries, self._identity)
+        return ballot_of(replica_set, self._tries, self._identity)
 
     def _learn_ballot(self, replica_set: ReplicaSet, promised: Ballot) -> None:
         """Try above a ballot that stood in the way; that of an earlier epoch or build is lower."""
-        heard = promised.round - replica_set.epoch * ROUNDS_PER_EPOCH
-        self._tries = max(self._tries, heard)
+        self._tries = max(self._tries, tries_behind(replica_set, promised))
 
     async def _prepare(
         self, where: RecordKey, replica_set: ReplicaSet, ballot: Ballot
--- a/src/crankseam/records/reconfigurer.py
+++ b/src/crankseam/records/reconfigurer.py
@@ -79,8 +79,8 @@
     async def _bring_in(self, old: ReplicaSet, agreed: ReplicaSet, serving: list[str]) -> None:
         """Install on the members that lag what one serving member holds.
 
-        It is as if they had received the same installation and the same Accepts as that member; until
-        then they had no vote, so that no majority hangs on what they lack.
+        It is as if they had received the same installation and the same Accepts as that member.
+        Until then they had no vote, so that no majority hangs on what they lack.
         """
         state = await self._read_state(serving[0], old, agreed)
         if state is None:
--- a/tests/records/test_two_movers.py
+++ b/tests/records/test_two_movers.py
@@ -3,9 +3,10 @@
 First story: a register has the agreed value `v` on two replicas, and on the third a value that one
 proposer could only bring there, at a high ballot. A mover reads the first two and installs `v`; in
 the new epoch `w` is agreed on top of it, at a low ballot, since its proposer is young. A second
-mover, whose probes got no answer, reads the third replica and installs its value on the member that
-lagged. Ballots of the old epoch and of the new one were compared, so that a later round continued
-with the old value: `w` was lost. Two members with another ballot each showed it here.
+mover, whose probes got no answer, reads the third replica and installs its value on the member
+that lagged. Ballots of the old epoch and of the new one were compared, so that a later round
+continued with the old value: `w` was lost. What showed it: a reader of two members was told `v,x`
+after `v,w` had been agreed.
 
 Second story: a replica that was reached by neither the seal nor the installation hears of the new
 set, and moves the slot as well. Its choice of the next set was agreed in the new epoch, since the
