--- a/tests/support/virtual_clock.py
+++ b/tests/support/virtual_clock.py
@@ -8,6 +8,10 @@
 import selectors
 
 
+TICK_S = 1e-6
+"""Least time of one round of the loop: a wait that ends a rounding error later must come to its end."""
+
+
 class _InstantSelector(selectors.SelectSelector):
     """Waits by moving the loop's clock."""
 
@@ -18,7 +22,7 @@
     def select(self, timeout: float | None = None) -> list:
         if timeout is None:
             raise RuntimeError("nothing is left to run, and no timer is set: the test would hang")
-        self.now_s += max(timeout, 0.0)
+        self.now_s += max(timeout, TICK_S)
         return []
 
 
