Cold back ends: a few processes send, and together no more than is borne

All ways of a request pass it: items, scored requests, second attempts, retries; no run moves to a cold one. Looked for elsewhere: the product's own node has no figure of coldness from its machine list; a zone that is evacuated (op/evacuate) is read by nothing, which is listed as open.

--- a/src/crankseam/coordination/follower.py
+++ b/src/crankseam/coordination/follower.py
@@ -108,8 +108,8 @@
     def restart(self) -> None:
         """Ask anew at once: the store was out of reach, and a waiting watch may be stale.
 
-        A pause after failures ends, too: by its longest draw (1.6 s) and one silent peer before it a
-        change came 3.5 s late, of 2.0 s allowed.
+        A pause after failures ends, too: by its longest draw (1.6 s) and one silent peer before it
+        a change came 3.5 s late, of 2.0 s allowed.
         """
         self._must_hurry.set()
         if self._watching is not None:
--- a/src/crankseam/jobs/migration_requests.py
+++ b/src/crankseam/jobs/migration_requests.py
@@ -92,6 +92,8 @@
         now = time.monotonic()
         if back_end.avoid_until > now or not self._registry.is_current(back_end):
             return False
+        if back_end.cold.is_cold(now):
+            return False  # slow itself, and the place might be used when its share is spent
         if back_end.expected_load(now) >= slots_of(back_end):
             return False
         memory = self._memory_of(request.service) if need.item else None
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -3,9 +3,9 @@
 
 Inputs: each sampler's load (own requests, and others' by a report of at most 1.5 s), pace, weight
 version, zone and memory, as this process believes them at the moment of the round; the item's need.
-Rule: a sampler that is avoided, full for this kind of item or of an unsuitable version is no
-candidate. The rest is ordered by `Cost`, its first field that differs. The sampler that the item
-just left is taken only when there is no other.
+Rule: a sampler that is avoided, full for this kind of item, cold beyond this process's share or of
+an unsuitable version is no candidate. The rest is ordered by `Cost`, its first field that differs.
+The sampler that the item just left is taken only when there is no other.
 Protects: a step's longest items from slow, soon loading or overfull samplers; all others from a
 queue at one sampler.
 Shown by: `item_sent`, `scoring_sent` (the load in `reason`). Held by: tests/jobs/test_places.py,
@@ -140,6 +140,7 @@
     memory : of each sampler; None if it is not known or does not count.
     zone : of this process.
     now : monotonic time of the round.
+    may_send : whether a sampler bears one more request now: a cold one bears few.
     """
 
     slow: set[str]
@@ -148,6 +149,7 @@
     memory: EngineMemory | None
     zone: str
     now: float
+    may_send: Callable[[BackEnd, float], bool]
 
 
 class _Queue:
@@ -189,6 +191,8 @@
         return not back_end.has_memory_for(self._need.size, memory, self._beliefs.now)
 
     def _has_room(self, back_end: BackEnd) -> bool:
+        if not self._beliefs.may_send(back_end, self._beliefs.now):
+            return False
         most = max(1.0, self._need.slots_share * slots_of(back_end))
         return back_end.expected_load(self._beliefs.now) < most
 
@@ -274,6 +278,7 @@
             self._memory_of(request.service) if need.item else None,
             self._zone,
             self._now,
+            self._registry.may_send,
         )
         return _Queue(candidates, need, beliefs)
 
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from crankseam.serving.cold_starts import DEFAULT_COLD_PER_S, ColdStart
 from crankseam.serving.engine_memory import OTHERS_TOKENS, EngineMemory, RunSize
 
 log = logging.getLogger(__name__)
@@ -45,6 +46,8 @@
     """Weight version by model."""
     is_spot: bool = False
     """Whether it may be taken away at short notice."""
+    cold_left_s: float = 0.0
+    """How long it bears few requests still, when it said so."""
 
 
 @dataclass(slots=True, eq=False)
@@ -69,12 +72,14 @@
     """Newest weight version seen in answers, by model."""
     runs: dict[str, RunSize] = field(default_factory=dict)
     """Runs of this process that hold or were granted a place there, by item."""
+    cold: ColdStart = field(default_factory=ColdStart)
     has_ended: bool = False
     """Whether this process found that it ended without having said so."""
 
     def occupy_slot(self) -> None:
         """A request of this process is sent there, or is promised the next place."""
         self.in_flight += 1
+        self.cold.sent(time.monotonic())
 
     def release_slot(self) -> None:
         """It has ended, or does not go there after all."""
@@ -139,6 +144,11 @@
         self._by_id: dict[str, BackEnd] = {}
         self._by_service: dict[str, dict[str, BackEnd]] = {}
         self.on_change: list[Callable[[], None]] = []
+        self.cold_share: Callable[[str, str], int | None] = lambda _id, _service: int(
+            DEFAULT_COLD_PER_S
+        )
+        """Requests that this process may send to a cold back end within any second, by its id and
+        service; None if any number."""
 
     def update(self, record: BackEndRecord, is_first_reading: bool = False) -> None:
         """Take what discovery says of a back end.
@@ -161,8 +171,23 @@
             if record.leaving and not known.record.leaving:
                 log.info("back_end_leaving", extra={"back_end": record.id})
             known.record = record
+        self._take_cold(known, record.cold_left_s)
         self._changed()
 
+    @staticmethod
+    def _take_cold(known: BackEnd, left_s: float) -> None:
+        now = time.monotonic()
+        if left_s > 0.0 and not known.cold.is_cold(now):
+            log.info("back_end_cold", extra={"back_end": known.record.id, "seconds": left_s})
+        known.cold.told(left_s, now)
+
+    def may_send(self, back_end: BackEnd, now: float) -> bool:
+        """Whether this process may send a request there now: a cold one bears few."""
+        if not back_end.cold.is_cold(now):
+            return True
+        most = self.cold_share(back_end.record.id, back_end.record.service)
+        return back_end.cold.has_room(most, now)
+
     def remove(self, back_end_id: str) -> None:
         """The back end is gone from discovery: nothing new is sent there."""
         gone = self._by_id.pop(back_end_id, None)
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -143,8 +143,9 @@
 
     def _choose(self, forwarding: _Forwarding) -> BackEnd | None:
         history = forwarding.history
-        candidates = self._registry.of_service(forwarding.service)
         now = clocks.paced_s()
+        service = self._registry.of_service(forwarding.service)
+        candidates = [one for one in service if self._registry.may_send(one, now)]
         found = choose(candidates, self._zone, now, history.tried)
         if found is None and retry.may_repeat_back_ends(history):
             found = choose(candidates, self._zone, now)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -76,6 +76,9 @@
     "back_ends_read": LogEvent("All back ends were read for the first time.", ("count",)),
     "back_end_in": LogEvent("Discovery shows a new back end.", ("back_end", "service")),
     "back_end_leaving": LogEvent("It is leaving: nothing new is sent there.", ("back_end",)),
+    "back_end_cold": LogEvent(
+        "It says that it is cold: few processes send there, and little.", ("back_end", "seconds")
+    ),
     "back_end_out": LogEvent("It is gone from discovery.", ("back_end",)),
     "back_end_ended": LogEvent(
         "It ended without having said so; `running` requests of this process were there.",
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -79,6 +79,8 @@
     """None where it is not told."""
     scaling: ScalingBounds | None = None
     """None where samplers are not ordered by the system."""
+    cold_per_s: float | None = None
+    """Requests a second that a cold back end bears: 0 for any number, None where it is not told."""
 
 
 @dataclass(frozen=True, slots=True)
