--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -1,11 +1,16 @@
 """A short soak of the real programs keeps every promise, and the auditor can fail."""
 
+import asyncio
 from collections import Counter
+from types import SimpleNamespace
 
+from crankseam_platform_standins.soak.culprits import Culprits
+from crankseam_platform_standins.soak.fleet import TENANTS
 from crankseam_platform_standins.soak.promises import Auditor, JobAccount, Ledger
 from crankseam_platform_standins.soak.run import regression_seeds, soak
 
 from tests.platform.test_folder import ROOT
+from tests.support.waiting import eventually
 
 RESULT = {
     "id": "a",
@@ -86,3 +91,29 @@
 def test_the_seeds_that_failed_can_be_read():
     seeds = regression_seeds(ROOT / "soak" / "regressions.toml")
     assert all({"seed", "seconds", "cause"} <= set(one) for one in seeds)
+
+
+async def test_usage_of_requests_that_end_their_samplers_is_no_invention():
+    """Their callers are tenants like others, and a run that ended its sampler counts as begun.
+
+    What happened (soak seed 1033): `usage_not_invented: clinics: 323`, once. The check knew the
+    ordinary callers' requests only. What showed it: with 120 such callers (4.2 s, seed 1033) 186
+    requests of a tenant were reported, of which samplers had begun 36 ordinary and 146 deadly ones.
+    """
+    ledger = Ledger()
+    auditor = Auditor(ledger, length=2)
+    front = SimpleNamespace(name="front-1")
+
+    async def ask(*_call, **_headers):
+        return None
+
+    culprits = Culprits(ask, lambda: front, 1, auditor.tenants)
+    running = asyncio.create_task(culprits.run(None, 2))
+    await eventually(lambda: len(culprits.sends) >= 2, "two were sent")
+    running.cancel()
+    await asyncio.gather(running, return_exceptions=True)
+    sent = len(culprits.sends)
+    auditor.usage_compared({1: [{TENANTS[0]: sent}]})
+    assert not ledger.violations
+    auditor.usage_compared({1: [{TENANTS[0]: sent + 1}]})
+    assert [one.promise for one in ledger.violations] == ["usage_not_invented"]
--- a/tests/usage/test_reporter.py
+++ b/tests/usage/test_reporter.py
@@ -149,6 +149,25 @@
     await eventually(lambda: not platform.failures)
 
 
+async def test_a_ledger_whose_writes_lose_their_answers_counts_nothing_twice(three):
+    """A soak reported a window again after such a write: its counts were the same ones.
+
+    Here every write of the ledger loses its answer for a second and more, while requests come.
+    """
+    store, platform, processes = three
+    for number in range(60):
+        if number < 40:
+            store.faults.lose_answers = 1
+        for process in processes.values():
+            process.count("t1" if number % 3 else "t2")
+        await asyncio.sleep(0.03)
+    store.faults.lose_answers = 0
+    await eventually(lambda: platform.total() >= 180, "all reported")
+    await asyncio.sleep(2 * WINDOW_S)
+    assert platform.total() == 180
+    assert sum(counts.get("t2", 0) for counts in platform.reports.values()) == 60
+
+
 async def test_a_holder_that_was_fenced_reports_only_under_a_new_token(three):
     _, platform, processes = three
     holder, _ = split(processes)
