--- a/src/crankseam/coordination/interface.py
+++ b/src/crankseam/coordination/interface.py
@@ -140,11 +140,18 @@
         """
 
 
+class GrantedLease(NamedTuple):
+    """A new lease: its number, and its duration in seconds from the arrival of the call."""
+
+    number: int
+    duration_s: float
+
+
 class CoordinationStore(WatchedStore, TransactionStore, Protocol):
     """Typed access to the store. Times are seconds."""
 
-    async def grant_lease(self, duration: float) -> tuple[int, float]:
-        """A new lease: its number, and its duration in seconds from the arrival of the call."""
+    async def grant_lease(self, duration: float) -> GrantedLease:
+        """A new lease."""
 
     async def renew_lease(self, lease: int) -> float:
         """Renew; returns the duration in seconds from the call's arrival. Raises LeaseExpired."""
--- a/src/crankseam/coordination/metered_store.py
+++ b/src/crankseam/coordination/metered_store.py
@@ -9,7 +9,14 @@
 from collections.abc import Awaitable, Callable
 from typing import TypeVar
 
-from crankseam.coordination.interface import Changes, CoordinationStore, Entry, Page, Transaction
+from crankseam.coordination.interface import (
+    Changes,
+    CoordinationStore,
+    Entry,
+    GrantedLease,
+    Page,
+    Transaction,
+)
 
 Result = TypeVar("Result")
 CallObserver = Callable[[str, str, float], None]
@@ -52,7 +59,7 @@
         """See CoordinationStore."""
         return await self._timed("commit", self._store.commit(transaction))
 
-    async def grant_lease(self, duration: float) -> tuple[int, float]:
+    async def grant_lease(self, duration: float) -> GrantedLease:
         """See CoordinationStore."""
         return await self._timed("grant_lease", self._store.grant_lease(duration))
 
--- a/src/crankseam/coordination/relay.py
+++ b/src/crankseam/coordination/relay.py
@@ -13,6 +13,7 @@
 import logging
 import time
 from collections.abc import Awaitable, Callable
+from typing import NamedTuple
 
 import msgspec
 
@@ -21,6 +22,7 @@
     Changes,
     CoordinationStore,
     Entry,
+    GrantedLease,
     Page,
     Removal,
     Transaction,
@@ -47,6 +49,13 @@
 """
 
 
+class PeerOutcome(NamedTuple):
+    """A peer that was asked, and its answer or the failure of the way to it."""
+
+    peer: str
+    answer: RelayAnswer
+
+
 class RelayedStore:
     """See CoordinationStore; uses the own way while it works, else a peer's.
 
@@ -157,9 +166,7 @@
     def _others(self, tried: list[str]) -> list[str]:
         return self._choice.answering(self._peers(), tried, time.monotonic())
 
-    def _ask_next(
-        self, call: RelayCall, raw: bytes, tried: list[str]
-    ) -> asyncio.Task[tuple[str, RelayAnswer]]:
+    def _ask_next(self, call: RelayCall, raw: bytes, tried: list[str]) -> asyncio.Task[PeerOutcome]:
         peer = self._choice.pick(self._peers(), tried, time.monotonic())
         tried.append(peer)
         return asyncio.create_task(self._ask_one(peer, raw, longest_wait_s(call)))
@@ -171,19 +178,19 @@
             log.warning("store_through_peers", extra={"peer": peer})
         return answer
 
-    async def _ask_one(self, peer: str, raw: bytes, longest_s: float) -> tuple[str, RelayAnswer]:
+    async def _ask_one(self, peer: str, raw: bytes, longest_s: float) -> PeerOutcome:
         """The peer and its answer, or the failure of the way to it as if it had told it."""
         try:
             encoded = await self._call_peer(peer, raw, longest_s)
             answer = msgspec.msgpack.decode(encoded, type=RelayAnswer)
         except msgspec.DecodeError:
-            return peer, RelayAnswer(KeyValueOutcomeUnknown.__name__)
+            return PeerOutcome(peer, RelayAnswer(KeyValueOutcomeUnknown.__name__))
         except KeyValueError as error:
             self._choice.was_silent(peer, time.monotonic())
-            return peer, RelayAnswer(type(error).__name__)
+            return PeerOutcome(peer, RelayAnswer(type(error).__name__))
         if has_done_nothing(answer):
             self._choice.could_do_nothing(peer, time.monotonic())
-        return peer, answer
+        return PeerOutcome(peer, answer)
 
     # --- CoordinationStore
 
@@ -215,10 +222,10 @@
         )
         return (await self._make(call)).revision
 
-    async def grant_lease(self, duration: float) -> tuple[int, float]:
+    async def grant_lease(self, duration: float) -> GrantedLease:
         """See CoordinationStore."""
         answer = await self._make(RelayCall("grant_lease", duration=duration))
-        return answer.lease, answer.duration
+        return GrantedLease(answer.lease, answer.duration)
 
     async def renew_lease(self, lease: int) -> float:
         """See CoordinationStore."""
--- a/src/crankseam_standins/memory_store.py
+++ b/src/crankseam_standins/memory_store.py
@@ -15,6 +15,7 @@
 from crankseam.coordination.interface import (
     Changes,
     Entry,
+    GrantedLease,
     HistoryCompacted,
     LeaseExpired,
     Page,
@@ -188,13 +189,13 @@
         self.log.append(Removal(key, revision))
         self._changed.set()
 
-    async def grant_lease(self, duration: float) -> tuple[int, float]:
+    async def grant_lease(self, duration: float) -> GrantedLease:
         """See CoordinationStore."""
         await asyncio.sleep(0)
         self._arrive()
         number = next(self._numbers)
         self._leases[number] = (time.monotonic() + duration, duration)
-        return number, duration
+        return GrantedLease(number, duration)
 
     async def renew_lease(self, lease: int) -> float:
         """See CoordinationStore."""
