--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -89,6 +89,9 @@
     async def put(self, key, value):
         await self.store.commit(Transaction(puts=[Put(key, value)]))
 
+    async def remove(self, key):
+        await self.store.commit(Transaction(removals=[key]))
+
     async def configure(self, version=1, routes=ROUTES):
         await self.put("op/config", msgspec.json.encode(configuration(version, routes)))
 
