A zone that the operator evacuates gets nothing more until it is taken back

Symptom: requests went on to the samplers of a zone under op/evacuate/ZONE (rule EVAC). Cause: nothing read the key.

--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -171,7 +171,7 @@
         late_count = 0
         if back_ends and named.is_late(now):
             service = back_ends[0].record.service
-            late_count = free_loads(self._registry.of_service(service))
+            late_count = free_loads(self._registry.staying_of(service))
         return due_samplers(
             back_ends,
             model,
@@ -184,7 +184,7 @@
 
     def _loads_to_start(self, due: list[Load], carriers: dict[str, list[BackEnd]]) -> list[Load]:
         samplers = {
-            service: len(self._registry.of_service(service))
+            service: len(self._registry.staying_of(service))
             for service in {load.service for load in due}
         }
         carrier_counts = {model: len(back_ends) for model, back_ends in carriers.items()}
--- a/src/crankseam/scaling/actor.py
+++ b/src/crankseam/scaling/actor.py
@@ -111,7 +111,7 @@
         return {one.name: one.scaling for one in services if one.scaling is not None}
 
     async def _scale(self, service: str, bounds: ScalingBounds, fence: int) -> None:
-        back_ends = self._registry.of_service(service)
+        back_ends = self._registry.staying_of(service)
         supply = self._supply_of(service, back_ends, bounds)
         now = time.monotonic()
         if not back_ends or not self._supply.is_settled(now):
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -143,6 +143,7 @@
     def __init__(self) -> None:
         self._by_id: dict[str, BackEnd] = {}
         self._by_service: dict[str, dict[str, BackEnd]] = {}
+        self._evacuated: set[str] = set()
         self.on_change: list[Callable[[], None]] = []
         self.cold_share: Callable[[str, str], int | None] = lambda _id, _service: int(
             DEFAULT_COLD_PER_S
@@ -196,6 +197,23 @@
             log.info("back_end_out", extra={"back_end": back_end_id})
             self._changed()
 
+    def evacuate(self, zone: str) -> None:
+        """The operator wants nothing new sent to a zone's back ends; what runs there goes on."""
+        if zone not in self._evacuated:
+            self._evacuated.add(zone)
+            log.info("zone_evacuated", extra={"zone": zone})
+            self._changed()
+
+    def take_back(self, zone: str) -> None:
+        """The operator takes an evacuation back."""
+        if zone in self._evacuated:
+            self._evacuated.remove(zone)
+            log.info("zone_taken_back", extra={"zone": zone})
+            self._changed()
+
+    def _takes_new_work(self, back_end: BackEnd) -> bool:
+        return not back_end.record.leaving and back_end.record.zone not in self._evacuated
+
     def _changed(self) -> None:
         for notify in self.on_change:
             notify()
@@ -210,7 +228,7 @@
 
     def is_current(self, back_end: BackEnd) -> bool:
         """Whether new work may be sent to this back end now."""
-        return self._by_id.get(back_end.record.id) is back_end and not back_end.record.leaving
+        return self.is_known(back_end) and self._takes_new_work(back_end)
 
     def is_known(self, back_end: BackEnd) -> bool:
         """Whether this incarnation is still in discovery, leaving or not."""
@@ -226,8 +244,13 @@
 
     def of_service(self, service: str) -> list[BackEnd]:
         """Those that take new work."""
-        return [
-            back_end
-            for back_end in self._by_service.get(service, {}).values()
-            if not back_end.record.leaving
-        ]
+        return [one for one in self.staying_of(service) if self._takes_new_work(one)]
+
+    def staying_of(self, service: str) -> list[BackEnd]:
+        """Those that are not leaving, in evacuated zones too."""
+        known = self._by_service.get(service, {}).values()
+        return [one for one in known if not one.record.leaving]
+
+    def is_staying(self, back_end: BackEnd) -> bool:
+        """Whether it is known and not leaving, in an evacuated zone too."""
+        return self.is_known(back_end) and not back_end.record.leaving
--- a/src/crankseam/serving/ended_back_ends.py
+++ b/src/crankseam/serving/ended_back_ends.py
@@ -50,7 +50,7 @@
         """Look, right after a request broke there."""
         if back_end.has_ended:
             return True
-        if not self._registry.is_current(back_end):
+        if not self._registry.is_staying(back_end):
             return False
         key = back_end.record.id
         look = self._looks.get(key)
@@ -66,7 +66,7 @@
 
     def found_another(self, back_end: BackEnd) -> None:
         """Another back end answered at its address."""
-        if not back_end.has_ended and self._registry.is_current(back_end):
+        if not back_end.has_ended and self._registry.is_staying(back_end):
             self._found(back_end, ADDRESS_IS_ANOTHERS)
 
     def _found(self, back_end: BackEnd, evidence: str) -> None:
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -79,6 +79,10 @@
     "back_end_cold": LogEvent(
         "It says that it is cold: few processes send there, and little.", ("back_end", "seconds")
     ),
+    "zone_evacuated": LogEvent(
+        "The operator wants nothing new sent to the back ends of a zone.", ("zone",)
+    ),
+    "zone_taken_back": LogEvent("The zone's back ends take new work again.", ("zone",)),
     "back_end_out": LogEvent("It is gone from discovery.", ("back_end",)),
     "back_end_ended": LogEvent(
         "It ended without having said so; `running` requests of this process were there.",
--- a/tests/platform/test_evacuation.py
+++ b/tests/platform/test_evacuation.py
@@ -1,8 +1,8 @@
-"""Nothing more is sent to the samplers of a zone that the operator evacuates, until it is taken back.
+"""Nothing more is sent to the samplers of an evacuated zone, until it is taken back.
 
-What happened: the operator writes `op/evacuate/ZONE` to the store, and requests went on to the zone's
-samplers. Why: nothing read that key. Found by reading, while it was looked for where else samplers may
-come back cold.
+What happened: the operator writes `op/evacuate/ZONE` to the store, and requests went on to the
+zone's samplers. Why: nothing read that key. Found by reading, while it was looked for where else
+samplers may come back cold.
 """
 
 import msgspec
@@ -38,6 +38,7 @@
     away = registry.by_id("a")
     registry.evacuate("z1")
     assert [one.record.id for one in registry.of_service("s")] == ["b"]
-    assert not registry.is_current(away) and registry.is_known(away)
+    assert not registry.is_current(away) and registry.is_staying(away)
+    assert len(registry.staying_of("s")) == 2, "it counts as supply and carries its models"
     registry.take_back("z1")
     assert registry.is_current(away)
