Cold back ends: those that own open jobs send, not any process

Cause: the three senders were drawn from all 25 processes; items come from the owners of jobs, so that most cold samplers stood idle until warm. Change: where a service runs jobs, the senders are of the owners of open jobs, four at most with a fourth each.

--- a/src/crankseam/jobs/claims.py
+++ b/src/crankseam/jobs/claims.py
@@ -59,6 +59,8 @@
         self._process = process.encode()
         self._state = state
         self._claiming: set[str] = set()
+        self._owners: dict[str, str] = {}
+        """Process by open job, as the store last told."""
         self.demand = ModelDemand()
         self.active = True
         """False once this process hands its jobs over."""
@@ -86,7 +88,15 @@
         elif key.startswith(OWNER_PREFIX):
             self._owner_changed(key.removeprefix(OWNER_PREFIX), entry)
 
+    def owners(self) -> set[str]:
+        """Processes that run open jobs, as far as is known."""
+        return set(self._owners.values())
+
     def _owner_changed(self, job_id: str, entry: Entry | None) -> None:
+        if entry is None:
+            self._owners.pop(job_id, None)
+        else:
+            self._owners[job_id] = entry.value.decode()
         if entry is None:
             self._consider(job_id)
         elif entry.value != self._process:
--- a/src/crankseam/serving/cold_starts.py
+++ b/src/crankseam/serving/cold_starts.py
@@ -4,9 +4,9 @@
 free slots, and ends at well above that.
 
 Inputs: how long it is still cold (seconds, from its entry in discovery, as old as that); how many
-requests a second one bears (from the operator's configuration); the living processes, as this one
-knows them.
-Rule: for each cold back end a few processes, the first by rendezvous rank, may send; each has an
+requests a second one bears (from the operator's configuration); the processes that may have work
+for it, as this one knows them: those that own open jobs where a service runs jobs, else all.
+Rule: for each cold back end a few of those, the first by rendezvous rank, may send; each has an
 equal part of what the back end bears, counted over any second. All others send nothing there until
 it is warm. Where the configuration names no figure, `DEFAULT_COLD_PER_S` is assumed; a service
 whose figure is 0 is not limited.
@@ -30,9 +30,9 @@
 DEFAULT_COLD_PER_S = 10.0
 """Requests a second that a cold back end is taken to bear where nobody tells. An assumption: below
 the only figure seen so far, 12."""
-MOST_SENDERS = 3
-"""So many processes send to one cold back end. With three, a fourth or fifth one that takes itself
-for a sender, since it knows other processes, still keeps the sum below 1.7 times what is borne."""
+MOST_SENDERS = 4
+"""So many processes send to one cold back end. With four, a fifth or sixth one that takes itself
+for a sender, since it knows other processes, still keeps the sum at 1.5 times what is borne."""
 WINDOW_S = 1.0
 """What a back end bears is told by the second; any second counts."""
 
@@ -50,11 +50,11 @@
     >>> share_per_s(12.0, "b-1", "only", ["only"])
     12
     >>> [share_per_s(12.0, "b-1", one, "abcde") for one in "abcde"]
-    [4, 4, 0, 0, 4]
+    [3, 3, 0, 3, 3]
     """
-    living = {*processes, process}
-    count = max(1, min(MOST_SENDERS, len(living), int(per_s)))
-    senders = heapq.nsmallest(count, living, key=lambda one: _rank(back_end, one))
+    candidates = set(processes) or {process}
+    count = max(1, min(MOST_SENDERS, len(candidates), int(per_s)))
+    senders = heapq.nsmallest(count, candidates, key=lambda one: _rank(back_end, one))
     return max(1, int(per_s / count)) if process in senders else 0
 
 
@@ -69,18 +69,18 @@
     Parameters
     ==========
 
-    processes : names of all living processes.
+    senders : names of the processes that may have work for a service.
     per_s_of : requests a second that a cold back end of a service bears; None if nobody tells.
     """
 
     def __init__(
         self,
         process: str,
-        processes: Callable[[], list[str]],
+        senders: Callable[[str], Collection[str]],
         per_s_of: Callable[[str], float | None],
     ) -> None:
         self._process = process
-        self._processes = processes
+        self._senders = senders
         self._per_s_of = per_s_of
 
     def most_per_s(self, back_end: str, service: str) -> int | None:
@@ -90,7 +90,7 @@
             per_s = DEFAULT_COLD_PER_S
         if per_s <= 0.0:
             return None
-        return share_per_s(per_s, back_end, self._process, self._processes())
+        return share_per_s(per_s, back_end, self._process, self._senders(service))
 
 
 class ColdStart:
--- a/tests/jobs/test_claims.py
+++ b/tests/jobs/test_claims.py
@@ -42,3 +42,16 @@
     samplers.hold.set()
     assert claims == rank_processes(job.model, names)[:1]
     assert len(await all_results(processes[claims[0]].jobs)) == 3
+
+
+async def test_who_runs_open_jobs_is_known_to_all_until_its_key_goes(cluster):
+    """Those may send to a cold back end: chosen among all, most had nothing to send there."""
+    store, samplers, start = cluster
+    owner, other = await start("a"), await start("b")
+    samplers.hold = asyncio.Event()
+    await owner.jobs.submit(make_job(), time.monotonic() + 5.0)
+    await eventually(lambda: other.jobs.claims.owners() == {"a"}, "the owner is known")
+    samplers.hold.set()
+    await owner.kill()
+    store.expire_lease(owner.jobs.lease.number)
+    await eventually(lambda: other.jobs.claims.owners() == {"b"}, "the next owner is known")
