--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -14,6 +14,7 @@
 
 from crankseam.serving.cold_starts import DEFAULT_COLD_PER_S, ColdStart
 from crankseam.serving.engine_memory import REMOTE_RUN_TOKENS, EngineMemory, RunSize
+from crankseam.serving.load_reports import LoadReport
 
 log = logging.getLogger(__name__)
 
@@ -60,6 +61,8 @@
     `occupy_slot` and `release_slot`."""
     reported_load: int = 0
     """Running and waiting requests of all processes, according to the last load report."""
+    slowdown: float | None = None
+    """Slowdown of the last load report; None if the back end does not report it."""
     in_flight_at_report: int = 0
     """Value of `in_flight` when the last load report arrived."""
     reported_at: float = float("-inf")
@@ -107,9 +110,10 @@
         expected = taken + others * REMOTE_RUN_TOKENS + size.expected_tokens(memory)
         return expected <= memory.tokens
 
-    def report_load(self, running: int, waiting: int) -> None:
+    def report_load(self, report: LoadReport) -> None:
         """Store a load report that the back end sent."""
-        self.reported_load = running + waiting
+        self.reported_load = report.requests
+        self.slowdown = report.slowdown
         self.in_flight_at_report = self.in_flight
         self.reported_at = time.monotonic()
 
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -112,6 +112,11 @@
     "zone_taken_back": LogEvent(
         "The evacuation of a zone was revoked; its back ends accept new work again.", ("zone",)
     ),
+    "load_report_malformed": LogEvent(
+        "A back end reported a load that can't be decoded; `count` such reports since the last"
+        " line. Its load is estimated from the requests of this process alone.",
+        ("back_end", "value", "count"),
+    ),
     "back_end_out": LogEvent("A back end was removed from discovery.", ("back_end",)),
     "back_end_ended": LogEvent(
         "A back end ended unannounced; it had `running` requests of this process.",
--- a/tests/platform/test_load_reports.py
+++ b/tests/platform/test_load_reports.py
@@ -9,10 +9,10 @@
 
 import pytest
 from crankseam_platform.load_reports import LoadReportDecoder, MalformedLoadReport, decode_load
-from tests.platform.deployment import Deployment
 
 from crankseam.serving.back_ends import BackEnd, BackEndRecord
 from crankseam.serving.load_reports import LoadReport
+from tests.platform.deployment import Deployment
 
 
 def back_end(name="i-1"):
@@ -31,7 +31,18 @@
 
 @pytest.mark.parametrize(
     "value",
-    ["3", "3,1", "a,b,c", "-1,0,8", "1,-2,8", "1,2,-8", "1,,8", "1.5,0,8", "9999999999,0,8", "٣,1,8"],
+    [
+        "3",
+        "3,1",
+        "a,b,c",
+        "-1,0,8",
+        "1,-2,8",
+        "1,2,-8",
+        "1,,8",
+        "1.5,0,8",
+        "9999999999,0,8",
+        "٣,1,8",
+    ],
 )
 def test_a_report_without_usable_figures_is_malformed(value):
     with pytest.raises(MalformedLoadReport):
--- a/tests/serving/test_choice.py
+++ b/tests/serving/test_choice.py
@@ -7,6 +7,7 @@
 
 from crankseam.serving.back_ends import BackEnd, BackEndRecord, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
+from crankseam.serving.load_reports import LoadReport
 from crankseam.serving.routes import (
     Configuration,
     RequestKind,
@@ -58,7 +59,7 @@
 
 def test_a_fresh_report_of_others_load_counts_and_an_old_one_does_not():
     one, other = back_end("one"), back_end("other", in_flight=1)
-    one.report_load(5, 2)
+    one.report_load(LoadReport(5, 2, 8))
     assert choose([one, other], "z") is other
     one.reported_at = float("-inf")
     assert choose([one, other], "z") is one
--- a/tests/serving/test_engine_memory.py
+++ b/tests/serving/test_engine_memory.py
@@ -1,5 +1,6 @@
 from crankseam.serving.back_ends import BackEnd, BackEndRecord
 from crankseam.serving.engine_memory import REMOTE_RUN_TOKENS, EngineMemory, RunSize
+from crankseam.serving.load_reports import LoadReport
 
 MEMORY = EngineMemory(10_000, 75)
 
@@ -28,7 +29,7 @@
     assert with_one_run.has_memory_for(size, MEMORY, 0.0)
     with_two_runs = back_end(a=RunSize(250, 40), b=RunSize(250, 10))
     assert not with_two_runs.has_memory_for(size, MEMORY, 0.0)
-    with_one_run.report_load(1 + 1, 0)
+    with_one_run.report_load(LoadReport(1 + 1, 0, 8))
     now = with_one_run.reported_at
     left = MEMORY.tokens - REMOTE_RUN_TOKENS - RunSize(250, 40).expected_tokens(MEMORY)
     assert with_one_run.has_memory_for(size, MEMORY, now) == (size.expected_tokens(MEMORY) <= left)
