--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -280,6 +280,11 @@
         known = self._by_service.get(service, {}).values()
         return [back_end for back_end in known if not back_end.record.leaving]
 
+    def reports_slowdown(self, service: str) -> bool:
+        """Whether a back end of a service has reported a slowdown; see LoadReport."""
+        known = self._by_service.get(service, {}).values()
+        return any(back_end.slowdown is not None for back_end in known)
+
     def is_not_leaving(self, back_end: BackEnd) -> bool:
         """Whether a back end is known and not leaving; its zone may be evacuated."""
         return self.is_known(back_end) and not back_end.record.leaving
