--- a/src/crankseam/coordination/peer_http.py
+++ b/src/crankseam/coordination/peer_http.py
@@ -81,7 +81,7 @@
                 if response.status != 200:
                     raise KeyValueOutcomeUnknown(f"peer: status {response.status}")
                 return answer
-        except aiohttp.ClientConnectorError as error:
+        except (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError) as error:
             raise KeyValueUnavailable(f"peer: {type(error).__name__}") from error
         except (TimeoutError, aiohttp.ClientError, OSError) as error:
             raise KeyValueOutcomeUnknown(f"peer: {type(error).__name__}") from error
