--- a/src/crankseam/jobs/migration.py
+++ b/src/crankseam/jobs/migration.py
@@ -49,8 +49,8 @@
     Examples
     ========
 
-    >>> max_pace_s(0.066, 0.054, False), max_pace_s(0.066, 0.054, True)
-    (0.03, 0.055)
+    >>> [round(max_pace_s(0.066, 0.054, is_long), 3) for is_long in (False, True)]
+    [0.03, 0.055]
     """
     max_s = recent_s / SLOW_FACTOR
     if is_long:
--- a/src/crankseam/serving/cold_starts.py
+++ b/src/crankseam/serving/cold_starts.py
@@ -63,7 +63,7 @@
     >>> process_limit_per_s(12.0, "b-1", "only", ["only"])
     12
     >>> [process_limit_per_s(12.0, "b-1", one, "abcde") for one in "abcde"]
-    [3, 3, 0, 3, 3]
+    [3, 3, 3, 0, 3]
     """
     candidates = set(processes) or {process}
     count = max(1, min(MAX_SENDERS, len(candidates), int(capacity_per_s)))
