Soak: bursts of a large tenant beside a small one, at a service with limited and varying speed

Cause: nothing in the soak exceeded what its back ends could do; stand-in samplers ran any number of requests at once.

--- a/tests/platform/test_connect_timeout.py
+++ b/tests/platform/test_connect_timeout.py
@@ -1,9 +1,9 @@
-"""A call whose connection was never opened was not sent, so its outcome is known: nothing was done.
+"""A call whose connection was never opened was not sent, so nothing was done.
 
 A listener whose queue of new connections is full, or a machine without power, neither accepts nor
-refuses a connection. The HTTP library then reports a connection timeout, which is not the error that
-it reports for a refused connection. If the client takes it for a lost answer, its caller must assume
-that the call may have been done, and may not simply call again.
+refuses a connection. The HTTP library then reports a connection timeout, which is not the error
+that it reports for a refused connection. If a client takes it for a lost answer, its caller must
+assume that the call may have been done, and may not simply call again.
 """
 
 import socket
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -4,6 +4,7 @@
 from collections import Counter
 from types import SimpleNamespace
 
+from crankseam_platform_standins.soak.crowds import SmallRequest, check_small_tenant
 from crankseam_platform_standins.soak.culprits import Culprits
 from crankseam_platform_standins.soak.fleet import TENANTS
 from crankseam_platform_standins.soak.promises import Auditor, JobAccount, Ledger
@@ -118,3 +119,18 @@
     assert not ledger.violations
     auditor.usage_compared({1: [{TENANTS[0]: sent + 1}]})
     assert [violation.promise for violation in ledger.violations] == ["usage_not_invented"]
+
+
+def small_request(served, at=10.0, front="f-0"):
+    return SmallRequest("r", at, at + 1.0, served, (front,), (200 if served else 503,))
+
+
+def test_the_auditor_notices_a_small_tenant_that_is_not_served_beside_a_burst():
+    def violations(request):
+        ledger = Ledger()
+        check_small_tenant([request], lambda front, at: front == "f-9", ledger)
+        return len(ledger.violations)
+
+    assert violations(small_request(True)) == 0
+    assert violations(small_request(False)) == 1
+    assert violations(small_request(False, front="f-9")) == 0
