--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -1,5 +1,7 @@
 """Membership over loopback: discovery, deaths, restarts, stalls and outages."""
 
+import time
+
 import pytest
 
 from crankseam.cluster.digest import MemberStatus
@@ -9,6 +11,10 @@
 from tests.support.harness import Platform, SmallAgent, eventually, settings_for
 
 
+SUSPENDED_S = 3600.0
+"""Time for which a machine was suspended; longer than any test waits."""
+
+
 @pytest.fixture
 async def platform():
     running = Platform()
@@ -135,6 +141,22 @@
     assert guard.is_fresh()
 
 
+async def test_a_view_becomes_fresh_again_after_the_machine_was_suspended(
+    platform, agents, monkeypatch
+):
+    """Guards against a view that stays stale for as long as the machine was suspended.
+
+    The stall is detected by the clock that counts the suspended time. If the time of a heartbeat is
+    taken from the clock that does not, every later answer seems to be older than the stall.
+    """
+    await start_agents(platform, agents, 2)
+    guard = agents[0].agent.stall_guard
+    clock_gettime = time.clock_gettime
+    monkeypatch.setattr(time, "clock_gettime", lambda clock: clock_gettime(clock) + SUSPENDED_S)
+    assert not guard.is_fresh()
+    await eventually(guard.is_fresh, "the view is fresh again")
+
+
 async def test_a_death_in_a_zone_of_four_is_known_to_all(platform, agents):
     addresses: list[str] = []
     for index in range(8):
