Membership: the time of a heartbeat is told to the stall guard by the guard's own clock

Change: `asked_at` is taken from `clocks.boottime_s`, as RelayDuties does; pacing stays on the monotonic clock. Measured: tests/cluster and tests/test_clocks.py pass.

--- a/src/crankseam/cluster/membership.py
+++ b/src/crankseam/cluster/membership.py
@@ -99,10 +99,11 @@
         self._parts.tasks.start(self._relay.failure_detection_loop(), "judge")
         while True:
             started = time.monotonic()
+            asked_at = clocks.boottime_s()
             await self._send_heartbeats()
             if self.order.is_relay():
                 await self._relay.exchange()
-            self._parts.stall_guard.record_response(started)
+            self._parts.stall_guard.record_response(asked_at)
             self._start_founded_sets()
             await self._sleep_until_next(started)
 
