--- a/tests/cluster/test_membership.py
+++ b/tests/cluster/test_membership.py
@@ -10,7 +10,6 @@
 from crankseam.peers.messages import Member
 from tests.support.harness import Platform, SmallAgent, eventually, settings_for
 
-
 SUSPENDED_S = 3600.0
 """Time for which a machine was suspended; longer than any test waits."""
 
