--- /dev/null
+++ b/src/crankseam/fairness/__init__.py
@@ -0,0 +1,1 @@
+"""Fair shares among tenants: whose waiting item or request goes first."""
