--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -253,6 +253,17 @@
         ("job", "item", "back_end", "reason", "events", "seconds"),
     ),
     "item_given_up": LogEvent("An item waited longer than its route allows.", ("job", "item")),
+    "tenant_waited": LogEvent(
+        "The oldest of a tenant's `waiting` items and scoring requests has waited `waited_s`."
+        " `share`, `largest_other`: fractions of the work that this process granted in the last 10"
+        " to 20 seconds, of this tenant and of the one with the most among the others.",
+        ("tenant", "waiting", "waited_s", "share", "largest_other"),
+    ),
+    "tenant_share_freed": LogEvent(
+        "Configuration `version` has no key of a tenant any more. The tenant's `open_items` run"
+        " only where no other tenant of their priority waits.",
+        ("tenant", "version", "open_items"),
+    ),
     "item_task_failed": LogEvent(
         "The program failed with an internal error; the item is restarted.", ("job", "item")
     ),
