Departures are told each configuration once, instead of comparing it at each decision

Symptom: each start of a tenant read the configuration in force twice, and a departure was noticed only with the next decision. Change: DepartedTenants.configured is called with each configuration.

--- a/src/crankseam/fairness/departed_tenants.py
+++ b/src/crankseam/fairness/departed_tenants.py
@@ -1,7 +1,7 @@
 """Tells which tenants have left the configuration in force.
 
-Inputs: the configuration in force, compared with the one seen last, at each look; the open items of
-a tenant that left.
+Inputs: each configuration that comes into force, compared with the one before; the open items of a
+tenant that left, from the keys of open jobs.
 Rule: a tenant has left if an earlier configuration had a key of it and the one in force has none.
 It counts as present again as soon as a configuration has one. A tenant that this process has never
 seen has not left: its job may have come from a process that knows a newer configuration.
@@ -36,38 +36,24 @@
 class DepartedTenants:
     """Follows the tenants of the configuration in force.
 
-    Parameters
-    ==========
-
-    configuration : returns the configuration in force; None while none is known.
-
     Attributes
     ==========
 
     on_left : callbacks invoked once with the name of each tenant that left.
     """
 
-    def __init__(
-        self, configuration: Callable[[], Configuration | None], open_work: OpenWork
-    ) -> None:
+    def __init__(self, open_work: OpenWork) -> None:
         self.on_left: list[Callable[[str], None]] = []
-        self._configuration = configuration
         self._open_work = open_work
-        self._known: Configuration | None = None
         self._present: frozenset[str] = frozenset()
         self._departed: dict[str, None] = {}
 
     def has_left(self, tenant: str) -> bool:
         """Whether a tenant has left the configuration in force."""
-        self.refresh()
         return tenant in self._departed
 
-    def refresh(self) -> None:
-        """Compare the tenants if there is a newer configuration."""
-        configuration = self._configuration()
-        if configuration is None or configuration is self._known:
-            return
-        self._known = configuration
+    def configured(self, configuration: Configuration) -> None:
+        """Handle a configuration that has come into force."""
         present = tenant_names(configuration)
         for tenant in present:
             self._departed.pop(tenant, None)
--- a/src/crankseam/fairness/item_order.py
+++ b/src/crankseam/fairness/item_order.py
@@ -56,8 +56,7 @@
         departed.on_left.append(self.tenant_left)
 
     def is_active(self) -> bool:
-        """Whether shares are in effect; also takes note of tenants that have left."""
-        self._departed.refresh()
+        """Whether shares are in effect."""
         return self._has_tenants()
 
     def start_of(self, tenant: str, model: str, priority: float = 0.0) -> float:
--- a/tests/fairness/factories.py
+++ b/tests/fairness/factories.py
@@ -25,10 +25,14 @@
     """An ItemFairness with its inputs, which a test sets."""
 
     def __init__(self, *tenants, clock=lambda: 0.0):
-        self.configuration = configuration(1, *(tenants or ("a",)))
         self.work = OpenWork()
-        self.departed = DepartedTenants(lambda: self.configuration, self.work)
+        self.departed = DepartedTenants(self.work)
+        self.configure(configuration(1, *(tenants or ("a",))))
         self.fairness = ItemFairness(self.has_tenants, self.departed, self.work, TenantWaits(clock))
 
+    def configure(self, now):
+        self.configuration = now
+        self.departed.configured(now)
+
     def has_tenants(self):
         return self.configuration is not None and self.configuration.tenants is not None
--- a/tests/fairness/test_departed_tenants.py
+++ b/tests/fairness/test_departed_tenants.py
@@ -11,16 +11,12 @@
 
 class Watched:
     def __init__(self):
-        self.now = None
         self.work = OpenWork()
-        self.departed = DepartedTenants(lambda: self.now, self.work)
+        self.departed = DepartedTenants(self.work)
+        self.configure = self.departed.configured
         self.left = []
         self.departed.on_left.append(self.left.append)
 
-    def configure(self, now):
-        self.now = now
-        self.departed.refresh()
-
 
 def test_a_tenant_without_a_key_in_force_has_left_until_it_has_one_again(caplog):
     caplog.set_level(logging.INFO)
--- a/tests/fairness/test_item_order.py
+++ b/tests/fairness/test_item_order.py
@@ -50,16 +50,16 @@
 def test_a_tenant_that_leaves_in_the_middle_frees_its_share_at_once():
     shares = Shares("a", "b", "c")
     grants(shares, ["a", "b", "c"], 30)
-    shares.configuration = configuration(2, "a", "c")
+    shares.configure(configuration(2, "a", "c"))
     assert set(grants(shares, ["a", "b", "c"], 30)) == {"a", "c"}
     assert grants(shares, ["b"], 2) == ["b", "b"], "work conserving"
-    shares.configuration = configuration(3, "a", "b", "c")
+    shares.configure(configuration(3, "a", "b", "c"))
     assert abs(grants(shares, ["a", "b", "c"], 30).count("b") - 10) <= 1
 
 
 def test_without_tenants_all_starts_are_equal():
     shares = Shares("a")
-    shares.configuration = Configuration(2)
+    shares.configure(Configuration(2))
     shares.fairness.granted("a", "m", 100.0)
     assert shares.fairness.start_of("a", "m") == shares.fairness.start_of("b", "m") == 0.0
     shares.configuration = None
--- a/tests/fairness/test_service_order.py
+++ b/tests/fairness/test_service_order.py
@@ -12,7 +12,8 @@
 
 def test_each_service_and_priority_has_one_order_and_departures_reach_it():
     now = configuration(1, "a", "b")
-    departed = DepartedTenants(lambda: now, OpenWork())
+    departed = DepartedTenants(OpenWork())
+    departed.configured(now)
     services = ServiceFairness(lambda: now.tenants is not None, departed)
     order: FairOrder = services.order_of("s")
     assert services.order_of("s") is order
@@ -21,8 +22,10 @@
     order.charge("c", 5.0)
     assert order.start_of("a") > order.start_of("b")
     now = configuration(2, "b")
+    departed.configured(now)
     assert order.start_of("a") == math.inf
     now = configuration(3, "a", "b")
+    departed.configured(now)
     assert order.start_of("a") == order.start_of("b"), "what it had before it left is forgotten"
     now = Configuration(4)
     order.charge("b", 5.0)
