Dispatcher: among items of one priority the tenant with the earlier start goes first

Symptom: a large tenant's backlog goes before a small tenant's first item. Cause: the rank of an item does not know its tenant. Change: Dispatcher takes an ItemFairness; RoundOrder gives the order of a round (rank class, start of the tenant, rank, arrival). Without an ItemFairness, or without tenants, the loop is as before. It is not a plain FairOrder, as that does not know the model, by which items share.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -4,7 +4,8 @@
 
 Owns the queue of waiting items, and the counts of the places that this process holds at each
 sampler (`in_flight`, `runs`). Relies on the registry for the samplers. The rules are in urgency.py
-(order of the items), places.py (choice of the sampler) and migration.py (migration of runs).
+(order of the items), fairness/round_order.py (order among tenants), places.py (choice of the
+sampler) and migration.py (migration of runs).
 """
 
 from __future__ import annotations
@@ -12,7 +13,11 @@
 import asyncio
 import heapq
 import itertools
+from operator import attrgetter
 
+from crankseam.fairness.item_order import ItemFairness
+from crankseam.fairness.round_order import RoundOrder
+from crankseam.fairness.waits import WaitingRequest
 from crankseam.jobs.migration import max_pace_s
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
 from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
@@ -31,6 +36,7 @@
         zone: zone of this process; among otherwise equal samplers those in this zone are preferred.
         paces: observed paces of the samplers; a new, empty `SamplerPaces` if omitted.
         memory_of: returns the memory of each sampler of a service, None if unknown.
+        fairness: shares the places among tenants; None if the items go by rank alone.
     """
 
     def __init__(
@@ -39,7 +45,9 @@
         zone: str,
         paces: SamplerPaces | None = None,
         memory_of: MemoryLookup = lambda service: None,
+        fairness: ItemFairness | None = None,
     ) -> None:
+        self._fairness = fairness
         self._memory_of = memory_of
         self._registry = registry
         self._zone = zone
@@ -88,21 +96,46 @@
     def _assign_places(self) -> None:
         self._migrations.grant_all()
         round_ = AssignmentRound(self._registry, self.paces, self._zone, self._memory_of)
+        if self._fairness is not None and self._fairness.is_active():
+            self._assign_by_shares(round_, self._fairness)
+            return
         unplaced: list[PlaceRequest] = []
         while self._waiting:
             request = heapq.heappop(self._waiting)
             if request.place.done():
                 continue
-            back_end = round_.assign(request)
-            if back_end is None:
+            if not self._try_to_place(request, round_):
                 unplaced.append(request)
-                continue
-            back_end.occupy_slot()
-            if request.need.item:
-                back_end.runs[request.need.item] = request.need.size
-            request.place.set_result(back_end)
         self._waiting = unplaced
 
+    def _assign_by_shares(self, round_: AssignmentRound, fairness: ItemFairness) -> None:
+        """Assign places in the order of fairness/round_order.py."""
+        waiting = [request for request in self._waiting if not request.place.done()]
+        waiting.sort(key=attrgetter("rank", "number"))
+        order = RoundOrder(waiting, fairness)
+        while (request := order.next()) is not None:
+            if self._try_to_place(request, round_):
+                order.granted(request)
+        # A sorted list is a heap, as `acquire` needs it.
+        self._waiting = [request for request in waiting if not request.place.done()]
+        if fairness.waits.is_due():
+            fairness.waits.look(
+                WaitingRequest(request.need.tenant, request.need.since_s)
+                for request in self._waiting
+            )
+
+    @staticmethod
+    def _try_to_place(request: PlaceRequest, round_: AssignmentRound) -> bool:
+        """Give a waiting request a place; False if no suitable sampler has room."""
+        back_end = round_.assign(request)
+        if back_end is None:
+            return False
+        back_end.occupy_slot()
+        if request.need.item:
+            back_end.runs[request.need.item] = request.need.size
+        request.place.set_result(back_end)
+        return True
+
     def is_registered(self, back_end_id: str) -> bool:
         """Whether discovery lists a back end with this id."""
         return self._registry.by_id(back_end_id) is not None
--- a/src/crankseam/jobs/item_maker.py
+++ b/src/crankseam/jobs/item_maker.py
@@ -64,7 +64,9 @@
         if kept.whole:
             result = unscored_result(item, kept)
         else:
-            result = await self._run_item(ItemRun(job, item, rank, self._parts, kept, is_long))
+            expected_s = self.item_seconds.expected_s(job.model, item)
+            run = ItemRun(job, item, rank, self._parts, kept, is_long, expected_s)
+            result = await self._run_item(run)
         if not result.completed or item.scoring is None:
             return result
         route = self._find_route(job)
--- a/src/crankseam/jobs/item_seconds.py
+++ b/src/crankseam/jobs/item_seconds.py
@@ -12,6 +12,9 @@
 
 AVERAGING_ITEMS = 256
 """Time constant of the decaying sums, in items: about two steps."""
+DEFAULT_ITEM_S = 1.0
+"""Seconds that are expected of each item of a model of which too few items have ended. Any value
+does: only the items of one model are compared."""
 MIN_ITEMS = 8
 """Number of items of a model that must have ended before an estimate is given."""
 
@@ -60,6 +63,13 @@
         """
         self._sums.setdefault(model, _Sums()).add(held_s, _work_units(item))
 
+    def expected_s(self, model: str, item: ItemDefinition) -> float:
+        """Expected seconds for which an item holds places; DEFAULT_ITEM_S if unknown."""
+        sums = self._sums.get(model)
+        if sums is None or sums.items < MIN_ITEMS:
+            return DEFAULT_ITEM_S
+        return _work_units(item) * sums.held_s / sums.units
+
     def mean_s(self, job: JobDefinition) -> float:
         """Expected seconds for which an item of a job holds places; 0 if unknown."""
         sums = self._sums.get(job.model)
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -28,6 +28,7 @@
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.engine_memory import EMPTY_RUN, EngineMemory, RunSize
 from crankseam.serving.paces import SamplerPaces
+from crankseam.serving.tenants import NO_TENANT
 
 DEFAULT_SLOTS = 8
 """Number of slots of a sampler for which discovery lists none."""
@@ -70,6 +71,9 @@
     item : id under which the back end's memory use counts the run; empty for a request that needs
         no memory there.
     size : size of the run, for the memory check.
+    tenant : name of the tenant to which the item belongs; empty if there is none.
+    work_s : seconds that the tenant is charged for the place; see fairness/item_order.py.
+    since_s : monotonic time since which the item waits for a place.
     """
 
     rank: tuple[float, ...]
@@ -80,6 +84,9 @@
     slots_share: float = 1.0
     item: str = ""
     size: RunSize = EMPTY_RUN
+    tenant: str = NO_TENANT
+    work_s: float = 0.0
+    since_s: float = field(default_factory=time.monotonic, compare=False)
 
 
 @dataclass(order=True, slots=True)
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -26,6 +26,7 @@
     max_scoring_failures,
     scoring_timeout_s,
 )
+from crankseam.jobs.item_seconds import DEFAULT_ITEM_S
 from crankseam.jobs.model import ItemDefinition, JobDefinition, ScoringRequest
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_places import RoutedPlaces
@@ -108,7 +109,7 @@
         """
         run = _ScoringRun(self._client, self._guard, job, item, request)
         try:
-            return await self._try_until_scored(run, request, rank, job_attempts)
+            return await self._try_until_scored(run, request, rank, job_attempts, job.tenant)
         finally:
             run.tracker.abandon()
 
@@ -118,11 +119,21 @@
         request: ScoringRequest,
         rank: tuple[float, ...],
         job_attempts: int,
+        tenant: str,
     ) -> str | None:
+        work_s = DEFAULT_ITEM_S
         while True:
             await run.tracker.wait_until_admitted()
-            need = PlaceNeed(rank, avoided=run.avoided, slots_share=SCORING_SLOTS_SHARE)
+            need = PlaceNeed(
+                rank,
+                avoided=run.avoided,
+                slots_share=SCORING_SLOTS_SHARE,
+                tenant=tenant,
+                work_s=work_s,
+            )
             async with self._places.hold(partial(self._find_route, request), need) as place:
+                # The tenant is charged once, as all scoring requests count the same.
+                work_s = 0.0
                 score = await run.attempt(place.route, place.back_end)
             if score is not None:
                 return score
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -24,6 +24,8 @@
 START_SPAN_S = 2.0
 """Jobs whose start times fall into the same span of this length are ranked as if they had started
 together, so that they share the samplers item by item."""
+RANK_CLASS_FIELDS = 1
+"""Number of fields at the start of a rank that go before the shares of tenants: the priority."""
 LONG_HINT_FACTOR = 1.5
 """An item is expected to be long if its hint exceeds this multiple of its job's median hint.
 Together with the placement of long items on the fastest samplers, this raised the number of groups
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -1,16 +1,19 @@
 import asyncio
 from dataclasses import replace
 
+import msgspec
 import pytest
 
 from crankseam.jobs import item_retry
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
+from crankseam.jobs.item_seconds import DEFAULT_ITEM_S
 from crankseam.jobs.model import PartialText
 from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.engine_memory import RunSize
 from crankseam.serving.messages import AttemptNotRun
 from crankseam.serving.paces import SamplerPaces
+from tests.fairness.factories import Shares
 from tests.jobs.factories import (
     BROKEN,
     ScriptedSamplers,
@@ -281,3 +284,20 @@
     finally:
         running.cancel()
         task.cancel()
+
+
+async def test_a_tenant_is_charged_once_for_a_run_whatever_interrupts_it(samplers):
+    """Guards against a tenant that pays for the rejections and failures of samplers: each attempt
+    is granted a place of its own."""
+    shares = Shares("t")
+    dispatcher = Dispatcher(make_registry(), "z", fairness=shares.fairness)
+    task = asyncio.create_task(dispatcher.run())
+    samplers.scripts = [[AttemptNotRun("full")], [*events(1, 2), BROKEN], events(3, 4)]
+    run = make_run(dispatcher, samplers, job=msgspec.structs.replace(make_job(), tenant="t"))
+    try:
+        async with asyncio.timeout(20):
+            await run.run()
+    finally:
+        task.cancel()
+    assert len(samplers.attempts) == 3
+    assert shares.fairness.start_of("t", "m") == DEFAULT_ITEM_S
--- a/tests/jobs/test_item_seconds.py
+++ b/tests/jobs/test_item_seconds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crankseam.jobs.item_seconds import MIN_ITEMS, ItemSeconds
+from crankseam.jobs.item_seconds import DEFAULT_ITEM_S, MIN_ITEMS, ItemSeconds
 from crankseam.jobs.model import ItemDefinition, JobDefinition
 
 
@@ -34,6 +34,15 @@
     assert item_seconds.mean_s(job([10, 10, 100])) == pytest.approx(1.6)
 
 
+def test_an_item_is_expected_to_take_seconds_by_its_hint_once_enough_have_ended():
+    item_seconds = ItemSeconds()
+    assert item_seconds.expected_s("m", item(0, hint=100)) == DEFAULT_ITEM_S
+    for number in range(MIN_ITEMS):
+        item_seconds.ended("m", item(number, hint=10), 0.4)
+    assert item_seconds.expected_s("m", item(0, hint=100)) == pytest.approx(4.0)
+    assert item_seconds.expected_s("other", item(0, hint=100)) == DEFAULT_ITEM_S
+
+
 def test_the_estimate_follows_recent_items():
     item_seconds = ItemSeconds()
     for number in range(300):
