--- a/tests/platform/test_tenants.py
+++ b/tests/platform/test_tenants.py
@@ -1,4 +1,5 @@
 import logging
+import math
 
 import msgspec
 import pytest
@@ -162,3 +163,33 @@
     outputs += [str((dict(headers), body)) for _, headers, body in answers]
     for key in (KEY_A, KEY_B, "unknown-key"):
         assert not any(key in text for text in outputs)
+
+
+async def test_open_items_count_by_tenant_until_the_job_ends_and_a_departure_is_told(
+    deployment, caplog
+):
+    """A process that does not run the job knows of it too, from the keys of open jobs."""
+    caplog.set_level(logging.INFO)
+    await configure(deployment)
+    front, other = await deployment.start_front(), await deployment.start_front("front-2")
+    assert front.item_fairness.is_active()
+    deployment.session.headers["Authorization"] = f"Bearer {KEY_A}"
+    assert (await deployment.submit(front))[0] == 202
+    for one in (front, other):
+        await eventually(lambda one=one: one.open_work.total_items("ten-a") == 3)
+    await configure(deployment, 2, TENANTS[1:])
+    await eventually(lambda: front.in_force.version() == other.in_force.version() == 2)
+    freed = [record for record in caplog.records if record.msg == "tenant_share_freed"]
+    assert [(line.tenant, line.version, line.open_items) for line in freed] == [("ten-a", 2, 3)] * 2
+    assert front.item_fairness.start_of("ten-a", "m") == math.inf
+    await configure(deployment, 3)
+    await eventually(lambda: front.in_force.version() == 3)
+    await deployment.ask(front, "/v1/lots/job1", method="DELETE")
+    for one in (front, other):
+        await eventually(lambda one=one: one.open_work.total_items("ten-a") == 0)
+
+
+async def test_without_tenants_no_shares_are_in_effect(deployment):
+    await deployment.configure()
+    front = await deployment.start_front()
+    assert not front.item_fairness.is_active()
