Rounds by shares pass over all requests of a kind without room

Symptom: 1,000 waiting items of 80 tenants and full samplers: a round took 16 to 18 ms, against 7 to 9 ms by rank alone. Cause: each waiting request was tried, and entries were compared in Python.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -116,6 +116,8 @@
         while (request := order.next()) is not None:
             if self._try_to_place(request, round_):
                 order.granted(request)
+            else:
+                order.found_no_room(request)
         # A sorted list is a heap, as `acquire` needs it.
         self._waiting = [request for request in waiting if not request.place.done()]
         if fairness.waits.is_due():
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -89,6 +89,24 @@
     since_s: float = field(default_factory=time.monotonic, compare=False)
 
 
+SIZE_BUCKET_EVENTS = 16
+"""Runs are grouped by their number of events into buckets of this width, and those of one bucket
+are placed alike. A queue is computed for each kind of item, and a single event adds little
+memory."""
+
+
+class ItemKind(NamedTuple):
+    """Key of items for which each sampler has the same cost, and the same room."""
+
+    service: str
+    model: str
+    min_version: int
+    is_long: bool
+    slots_share: float
+    only_version: int
+    size_bucket: int
+
+
 @dataclass(order=True, slots=True)
 class PlaceRequest:
     """A request for a place that is waiting, ordered by rank and then by number.
@@ -99,6 +117,7 @@
     number : position in the order of arrival.
     service : name of the service whose samplers are considered.
     place : receives the chosen sampler.
+    kind : kind of the item, by its need.
     """
 
     rank: tuple[float, ...]
@@ -108,6 +127,19 @@
     only_version: int = field(compare=False)
     """The only weight version that may continue the item's text; 0 if any version may."""
     place: asyncio.Future[BackEnd] = field(compare=False)
+    kind: ItemKind = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        need = self.need
+        self.kind = ItemKind(
+            self.service,
+            need.model,
+            need.min_version,
+            need.is_long,
+            need.slots_share,
+            self.only_version,
+            need.size.events // SIZE_BUCKET_EVENTS,
+        )
 
 
 class Cost(NamedTuple):
@@ -139,24 +171,8 @@
     tie_break: float
 
 
-class _ItemKind(NamedTuple):
-    """Key of items for which each sampler has the same cost."""
-
-    service: str
-    model: str
-    min_version: int
-    is_long: bool
-    slots_share: float
-    only_version: int
-    size_bucket: int
-
-
 MemoryLookup = Callable[[str], EngineMemory | None]
 """Returns the memory of each sampler of a service; None if unknown."""
-SIZE_BUCKET_EVENTS = 16
-"""Runs are grouped by their number of events into buckets of this width, and those of one bucket
-are placed alike. A queue is computed for each kind of item, and a single event adds little
-memory."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -276,25 +292,15 @@
         self._paces = paces
         self._zone = zone
         self._now = time.monotonic()
-        self._queues: dict[_ItemKind, _Queue] = {}
+        self._queues: dict[ItemKind, _Queue] = {}
         self._slow_ids: dict[str, set[str]] = {}
 
     def assign(self, request: PlaceRequest) -> BackEnd | None:
         """The sampler for a request; None if no suitable one has room."""
-        need = request.need
-        kind = _ItemKind(
-            request.service,
-            need.model,
-            need.min_version,
-            need.is_long,
-            need.slots_share,
-            request.only_version,
-            need.size.events // SIZE_BUCKET_EVENTS,
-        )
-        queue = self._queues.get(kind)
+        queue = self._queues.get(request.kind)
         if queue is None:
-            queue = self._queues[kind] = self._make_queue(request)
-        return queue.best(need.avoided)
+            queue = self._queues[request.kind] = self._make_queue(request)
+        return queue.best(request.need.avoided)
 
     def _make_queue(self, request: PlaceRequest) -> _Queue:
         need = request.need
