Open items are kept by tenant, and a queue is found without being moved

Symptom: at 100 back ends a round with 800 grants took 37 ms, against 22 ms by rank alone. Cause: each start built keys for two counts and moved its queue in the order of use. Change: counts nested by tenant; queues are forgotten in the order of creation.

--- a/src/crankseam/fairness/item_order.py
+++ b/src/crankseam/fairness/item_order.py
@@ -10,7 +10,6 @@
 from __future__ import annotations
 
 import math
-from collections import OrderedDict
 from collections.abc import Callable
 from functools import partial
 from typing import NamedTuple
@@ -22,8 +21,8 @@
 from crankseam.fairness.waits import TenantWaits
 
 MAX_QUEUES = 256
-"""Number of pairs of model and priority that are remembered; the one used least recently is
-forgotten first, and its tenants count as new."""
+"""Number of pairs of model and priority that are remembered; the one seen first is forgotten
+first, and its tenants count as new should it come back."""
 
 
 class _QueueKey(NamedTuple):
@@ -52,7 +51,7 @@
         self._has_tenants = has_tenants
         self._departed = departed
         self._open_work = open_work
-        self._queues: OrderedDict[_QueueKey, FairQueueing] = OrderedDict()
+        self._queues: dict[_QueueKey, FairQueueing] = {}
         departed.on_left.append(self.tenant_left)
 
     def is_active(self) -> bool:
@@ -100,9 +99,8 @@
         queue = self._queues.get(key)
         if queue is None:
             queue = self._queues[key] = FairQueueing(partial(self._weight, model))
-        self._queues.move_to_end(key)
-        if len(self._queues) > MAX_QUEUES:
-            self._queues.popitem(last=False)
+            if len(self._queues) > MAX_QUEUES:
+                del self._queues[next(iter(self._queues))]
         return queue
 
     def _weight(self, model: str, tenant: str) -> float:
--- a/src/crankseam/fairness/open_work.py
+++ b/src/crankseam/fairness/open_work.py
@@ -8,19 +8,26 @@
 
 from __future__ import annotations
 
-from collections import Counter
-from typing import NamedTuple
+from dataclasses import dataclass, field
 
 from crankseam.coordination.interface import Entry
 from crankseam.jobs.demand import OpenJob, decode_open_job
 from crankseam.serving.tenants import NO_TENANT
 
 
-class _Holder(NamedTuple):
-    """Key of the counts: whose items of which model."""
+@dataclass(slots=True)
+class _OpenItems:
+    """Open items of one tenant, in all and by model."""
 
-    tenant: str
-    model: str
+    total: int = 0
+    by_model: dict[str, int] = field(default_factory=dict)
+
+    def add(self, model: str, items: int) -> None:
+        """Add items of a model; a negative number removes them."""
+        self.total += items
+        self.by_model[model] = self.by_model.get(model, 0) + items
+        if not self.by_model[model]:
+            del self.by_model[model]
 
 
 class OpenWork:
@@ -28,8 +35,7 @@
 
     def __init__(self) -> None:
         self._jobs: dict[str, OpenJob] = {}
-        self._by_model: Counter[_Holder] = Counter()
-        self._by_tenant: Counter[str] = Counter()
+        self._by_tenant: dict[str, _OpenItems] = {}
 
     def state_changed(self, key: str, entry: Entry | None) -> None:
         """Handle a changed or removed key of an open job; see ChangeHandler."""
@@ -41,29 +47,28 @@
         if job.tenant == NO_TENANT or job.items <= 0:
             return
         self._jobs[key] = job
-        self._by_model[_Holder(job.tenant, job.model)] += job.items
-        self._by_tenant[job.tenant] += job.items
+        self._by_tenant.setdefault(job.tenant, _OpenItems()).add(job.model, job.items)
 
     def _remove(self, key: str) -> None:
         job = self._jobs.pop(key, None)
         if job is None:
             return
-        holder = _Holder(job.tenant, job.model)
-        self._by_model[holder] -= job.items
-        self._by_tenant[job.tenant] -= job.items
-        if not self._by_model[holder]:
-            del self._by_model[holder]
-        if not self._by_tenant[job.tenant]:
+        own = self._by_tenant[job.tenant]
+        own.add(job.model, -job.items)
+        if not own.total:
             del self._by_tenant[job.tenant]
 
     def items(self, tenant: str, model: str) -> int:
         """Return the number of a tenant's open items of one model."""
-        return self._by_model.get(_Holder(tenant, model), 0)
+        own = self._by_tenant.get(tenant)
+        return own.by_model.get(model, 0) if own is not None else 0
 
     def total_items(self, tenant: str) -> int:
         """Return the number of a tenant's open items of all models."""
-        return self._by_tenant.get(tenant, 0)
+        own = self._by_tenant.get(tenant)
+        return own.total if own is not None else 0
 
     def items_elsewhere(self, tenant: str, model: str) -> int:
         """Return the number of a tenant's open items of all models but one."""
-        return self.total_items(tenant) - self.items(tenant, model)
+        own = self._by_tenant.get(tenant)
+        return own.total - own.by_model.get(model, 0) if own is not None else 0
