Starts of different models are no longer compared

Symptom: items of a model that is new here all went before those of an old one where both run at the same samplers (the new test shows it). Cause: each model has its own virtual time, and a round compared the starts. Change: a round keeps requests by rank class and model; among models the requests whose turn it is go by rank and arrival, as before shares. A property checks that no request waits for which a sampler has room.

--- a/src/crankseam/fairness/round_order.py
+++ b/src/crankseam/fairness/round_order.py
@@ -3,9 +3,10 @@
 Inputs: the rank and kind of each waiting request; the start of each tenant, asked again after each
 grant.
 Rule: requests go in ascending order of their rank class, which is the first RANK_CLASS_FIELDS
-fields of the rank, then of the start of their tenant in their model, then of their rank, then of
-arrival. Once no sampler has room for a request, the others of its kind are passed over: room only
-shrinks during a round.
+fields of the rank. Among those of one class and model, the tenant with the smallest start goes
+first, and its requests go by rank, then by arrival. Among models, whose starts are not comparable,
+the requests whose turn it is go by rank, then by arrival. Once no sampler has room for a request,
+the others of its kind are passed over: room only shrinks during a round.
 Purpose: a large tenant's backlog does not go before a small tenant's first request, and no slot
 stays free that a waiting request could use.
 Logged as: `tenant_waited`, `item_sent`.
@@ -25,26 +26,99 @@
 
 
 class _Contender(NamedTuple):
-    """Whose requests share a start and a room: a tenant's, of one rank class and kind."""
+    """Whose requests share a start and a room: a tenant's, of one kind."""
 
-    rank_class: tuple[float, ...]
     tenant: str
     kind: ItemKind
 
 
+class _LaneKey(NamedTuple):
+    """Of which requests the starts are compared."""
+
+    rank_class: tuple[float, ...]
+    model: str
+
+
 class _Entry(NamedTuple):
-    """A contender's next request; the smallest entry is tried first.
+    """A contender's next request; the smallest entry of a lane is tried first.
 
     Numbers differ, so the contenders are never compared.
     """
 
-    rank_class: tuple[float, ...]
     start_s: float
     rank: tuple[float, ...]
     number: int
     contender: _Contender
 
 
+class _LaneEntry(NamedTuple):
+    """The request whose turn it is in a lane; numbers differ, so the keys are never compared."""
+
+    rank_class: tuple[float, ...]
+    rank: tuple[float, ...]
+    number: int
+    lane: _LaneKey
+
+
+class _Lane:
+    """The waiting requests of one rank class and model, by tenant and kind."""
+
+    def __init__(self, key: _LaneKey, fairness: ItemFairness, full_kinds: set[ItemKind]) -> None:
+        self._key = key
+        self._fairness = fairness
+        self._full_kinds = full_kinds
+        self._requests: dict[_Contender, deque[PlaceRequest]] = {}
+        self._heap: list[_Entry] = []
+
+    def add(self, request: PlaceRequest) -> None:
+        """Add a request; those of one contender in ascending order."""
+        contender = _Contender(request.need.tenant, request.kind)
+        self._requests.setdefault(contender, deque()).append(request)
+
+    def sort(self) -> None:
+        """Make the order of the contenders, once all requests are added."""
+        self._heap = [
+            self._entry(contender, self._start_s(contender)) for contender in self._requests
+        ]
+        heapq.heapify(self._heap)
+
+    def first(self) -> _LaneEntry | None:
+        """Return the request whose turn it is; None if there is none left with room.
+
+        Starts only grow during a round, so an outdated entry is always too small. It is put back
+        with its current start.
+        """
+        while self._heap:
+            entry = self._heap[0]
+            if entry.contender.kind in self._full_kinds:
+                heapq.heappop(self._heap)
+                continue
+            start_s = self._start_s(entry.contender)
+            if start_s <= entry.start_s:
+                return _LaneEntry(self._key.rank_class, entry.rank, entry.number, self._key)
+            heapq.heapreplace(self._heap, self._entry(entry.contender, start_s))
+        return None
+
+    def take(self) -> PlaceRequest:
+        """Remove and return the request that `first` told."""
+        entry = self._heap[0]
+        requests = self._requests[entry.contender]
+        request = requests.popleft()
+        if requests:
+            heapq.heapreplace(self._heap, self._entry(entry.contender, entry.start_s))
+        else:
+            heapq.heappop(self._heap)
+        return request
+
+    def _entry(self, contender: _Contender, start_s: float) -> _Entry:
+        first = self._requests[contender][0]
+        return _Entry(start_s, first.rank, first.number, contender)
+
+    def _start_s(self, contender: _Contender) -> float:
+        priority = self._key.rank_class[0]
+        return self._fairness.start_of(contender.tenant, self._key.model, priority)
+
+
 class RoundOrder:
     """The waiting requests of one round; each is returned at most once.
 
@@ -57,32 +131,33 @@
     def __init__(self, waiting: Iterable[PlaceRequest], fairness: ItemFairness) -> None:
         self._fairness = fairness
         self._full_kinds: set[ItemKind] = set()
-        self._requests: dict[_Contender, deque[PlaceRequest]] = {}
+        self._lanes: dict[_LaneKey, _Lane] = {}
         for request in waiting:
-            rank_class = request.rank[:RANK_CLASS_FIELDS]
-            contender = _Contender(rank_class, request.need.tenant, request.kind)
-            self._requests.setdefault(contender, deque()).append(request)
-        self._heap = [
-            self._entry(contender, self._start_s(contender)) for contender in self._requests
-        ]
-        heapq.heapify(self._heap)
+            self._lane_of(request).add(request)
+        self._taken_from: _Lane | None = None
+        """Lane of the last request returned, whose next request may depend on its outcome."""
+        self._heap: list[_LaneEntry] = []
+        for lane in self._lanes.values():
+            lane.sort()
+            self._push(lane.first())
 
     def next(self) -> PlaceRequest | None:
         """Return the request to try next; None if there is none left with room.
 
-        Starts only grow during a round, so an outdated entry is always too small. It is put back
-        with its current start.
+        The entry of a lane may be outdated, unless the lane has just been pushed.
         """
+        if self._taken_from is not None:
+            self._push(self._taken_from.first())
         while self._heap:
-            contender = self._heap[0].contender
-            if contender.kind in self._full_kinds:
-                heapq.heappop(self._heap)
-                continue
-            start_s = self._start_s(contender)
-            if start_s > self._heap[0].start_s:
-                heapq.heapreplace(self._heap, self._entry(contender, start_s))
-                continue
-            return self._take(contender, start_s)
+            known = heapq.heappop(self._heap)
+            lane = self._lanes[known.lane]
+            if lane is not self._taken_from:
+                current = lane.first()
+                if current != known:
+                    self._push(current)
+                    continue
+            self._taken_from = lane
+            return lane.take()
         return None
 
     def granted(self, request: PlaceRequest) -> None:
@@ -94,19 +169,13 @@
         """Record that no sampler has room for a request that was returned."""
         self._full_kinds.add(request.kind)
 
-    def _take(self, contender: _Contender, start_s: float) -> PlaceRequest:
-        requests = self._requests[contender]
-        request = requests.popleft()
-        if requests:
-            heapq.heapreplace(self._heap, self._entry(contender, start_s))
-        else:
-            heapq.heappop(self._heap)
-        return request
+    def _lane_of(self, request: PlaceRequest) -> _Lane:
+        key = _LaneKey(request.rank[:RANK_CLASS_FIELDS], request.need.model)
+        lane = self._lanes.get(key)
+        if lane is None:
+            lane = self._lanes[key] = _Lane(key, self._fairness, self._full_kinds)
+        return lane
 
-    def _entry(self, contender: _Contender, start_s: float) -> _Entry:
-        first = self._requests[contender][0]
-        return _Entry(contender.rank_class, start_s, first.rank, first.number, contender)
-
-    def _start_s(self, contender: _Contender) -> float:
-        priority = contender.rank_class[0]
-        return self._fairness.start_of(contender.tenant, contender.kind.model, priority)
+    def _push(self, entry: _LaneEntry | None) -> None:
+        if entry is not None:
+            heapq.heappush(self._heap, entry)
--- a/tests/fairness/test_round_order.py
+++ b/tests/fairness/test_round_order.py
@@ -9,7 +9,7 @@
 from crankseam.coordination.interface import Entry
 from crankseam.fairness.round_order import RoundOrder
 from crankseam.jobs.dispatcher import Dispatcher
-from crankseam.jobs.places import PlaceNeed, PlaceRequest
+from crankseam.jobs.places import AssignmentRound, PlaceNeed, PlaceRequest
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
 from crankseam.serving.routes import Configuration
 from tests.fairness.factories import Shares, configuration
@@ -100,6 +100,23 @@
     assert [tenant for tenant, _ in tried] == list("ababab")
 
 
+def test_a_model_that_was_granted_much_is_not_starved_by_one_that_is_new():
+    """Guards against comparing the virtual times of two models: that of a new one begins at zero,
+    and where both run at the same samplers, its items all went first."""
+
+    async def scenario():
+        shares = Shares("a", "b")
+        shares.fairness.granted("a", "old", 500.0)
+        shares.fairness.granted("a", "old", 500.0)
+        places = Places(shares.fairness, models=("old", "new"))
+        for index in range(5):
+            places.want(PlaceNeed((0.0, float(index)), "old", tenant="a", work_s=1.0))
+            places.want(PlaceNeed((0.0, float(index)), "new", tenant="b", work_s=1.0))
+        return await places.finish()
+
+    assert on_a_virtual_clock(scenario()) == ["a", "b"] * 5
+
+
 def test_without_tenants_items_go_by_rank_and_arrival():
     async def scenario():
         shares = Shares("a")
@@ -147,6 +164,48 @@
     assert on_a_virtual_clock(scenario()) == ["a", "b"]
 
 
+@given(
+    waiting=st.lists(
+        st.builds(
+            PlaceNeed,
+            rank=st.tuples(st.sampled_from([0.0, 1.0]), st.integers(0, 9).map(float)),
+            model=st.sampled_from(["m", "n", ""]),
+            min_version=st.integers(0, 2),
+            avoided=st.sampled_from(["", "s0"]),
+            is_long=st.booleans(),
+            slots_share=st.sampled_from([0.5, 0.84, 1.0]),
+            tenant=st.sampled_from("abc"),
+            work_s=st.floats(0.1, 9.0),
+        ),
+        max_size=40,
+    ),
+    slots=st.lists(st.integers(1, 6), max_size=4),
+)
+def test_no_request_waits_after_a_round_for_which_a_sampler_has_room(waiting, slots):
+    """Work conserving, whatever kinds of requests wait; each of them is placed or still waits."""
+
+    async def scenario():
+        registry = BackEndRegistry()
+        for number, count in enumerate(slots):
+            versions = {"m": number, "n": 1}
+            registry.update(
+                BackEndRecord(f"s{number}", "svc", "1.1.1.1:1", "z", count, versions=versions)
+            )
+        dispatcher = Dispatcher(registry, "z", fairness=Shares("a", "b").fairness)
+        tasks = [asyncio.create_task(dispatcher.acquire(need, "svc")) for need in waiting]
+        await asyncio.sleep(0)
+        dispatcher._assign_places()
+        after = AssignmentRound(registry, dispatcher.paces, "z")
+        assert not any(after.assign(request) for request in dispatcher._waiting)
+        placed = sum(back_end.in_flight for back_end in registry.of_service("svc"))
+        assert placed + len(dispatcher._waiting) == len(waiting)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    asyncio.run(scenario())
+
+
 @given(
     items=st.lists(
         st.tuples(st.sampled_from("abc"), st.integers(0, 1), st.floats(0.1, 9.0)), max_size=20
