--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -28,6 +28,7 @@
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.engine_memory import EMPTY_RUN, EngineMemory, RunSize
 from crankseam.serving.paces import SamplerPaces
+from crankseam.serving.tenants import NO_TENANT
 
 DEFAULT_SLOTS = 8
 """Number of slots of a sampler for which discovery lists none."""
@@ -70,6 +71,9 @@
     item : id under which the back end's memory use counts the run; empty for a request that needs
         no memory there.
     size : size of the run, for the memory check.
+    tenant : name of the tenant to which the item belongs; empty if there is none.
+    work_s : seconds that the tenant is charged for the place; see fairness/item_order.py.
+    since_s : monotonic time since which the item waits for a place.
     """
 
     rank: tuple[float, ...]
@@ -80,6 +84,27 @@
     slots_share: float = 1.0
     item: str = ""
     size: RunSize = EMPTY_RUN
+    tenant: str = NO_TENANT
+    work_s: float = 0.0
+    since_s: float = field(default_factory=time.monotonic, compare=False)
+
+
+SIZE_BUCKET_EVENTS = 16
+"""Runs are grouped by their number of events into buckets of this width, and those of one bucket
+are placed alike. A queue is computed for each kind of item, and a single event adds little
+memory."""
+
+
+class ItemKind(NamedTuple):
+    """Key of items for which each sampler has the same cost, and the same room."""
+
+    service: str
+    model: str
+    min_version: int
+    is_long: bool
+    slots_share: float
+    only_version: int
+    size_bucket: int
 
 
 @dataclass(order=True, slots=True)
@@ -92,6 +117,7 @@
     number : position in the order of arrival.
     service : name of the service whose samplers are considered.
     place : receives the chosen sampler.
+    kind : kind of the item, by its need.
     """
 
     rank: tuple[float, ...]
@@ -101,6 +127,19 @@
     only_version: int = field(compare=False)
     """The only weight version that may continue the item's text; 0 if any version may."""
     place: asyncio.Future[BackEnd] = field(compare=False)
+    kind: ItemKind = field(init=False, compare=False)
+
+    def __post_init__(self) -> None:
+        need = self.need
+        self.kind = ItemKind(
+            self.service,
+            need.model,
+            need.min_version,
+            need.is_long,
+            need.slots_share,
+            self.only_version,
+            need.size.events // SIZE_BUCKET_EVENTS,
+        )
 
 
 class Cost(NamedTuple):
@@ -132,24 +171,8 @@
     tie_break: float
 
 
-class _ItemKind(NamedTuple):
-    """Key of items for which each sampler has the same cost."""
-
-    service: str
-    model: str
-    min_version: int
-    is_long: bool
-    slots_share: float
-    only_version: int
-    size_bucket: int
-
-
 MemoryLookup = Callable[[str], EngineMemory | None]
 """Returns the memory of each sampler of a service; None if unknown."""
-SIZE_BUCKET_EVENTS = 16
-"""Runs are grouped by their number of events into buckets of this width, and those of one bucket
-are placed alike. A queue is computed for each kind of item, and a single event adds little
-memory."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -269,25 +292,15 @@
         self._paces = paces
         self._zone = zone
         self._now = time.monotonic()
-        self._queues: dict[_ItemKind, _Queue] = {}
+        self._queues: dict[ItemKind, _Queue] = {}
         self._slow_ids: dict[str, set[str]] = {}
 
     def assign(self, request: PlaceRequest) -> BackEnd | None:
         """The sampler for a request; None if no suitable one has room."""
-        need = request.need
-        kind = _ItemKind(
-            request.service,
-            need.model,
-            need.min_version,
-            need.is_long,
-            need.slots_share,
-            request.only_version,
-            need.size.events // SIZE_BUCKET_EVENTS,
-        )
-        queue = self._queues.get(kind)
+        queue = self._queues.get(request.kind)
         if queue is None:
-            queue = self._queues[kind] = self._make_queue(request)
-        return queue.best(need.avoided)
+            queue = self._queues[request.kind] = self._make_queue(request)
+        return queue.best(request.need.avoided)
 
     def _make_queue(self, request: PlaceRequest) -> _Queue:
         need = request.need
