Overload control of forwarded requests at contended services: limit, line, estimate, hedge budget

Symptom: requests go out at once, are rejected up to four times and told to come back in 0.1 s; slow attempts are hedged, most of all where all servers are slow. Cause: no decision says how many run, who waits and who is refused. Change: src/crankseam/overload/. The forwarder passes its gate before it sends. Other services are served as before.

--- /dev/null
+++ b/src/crankseam/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control: how many requests run at once, who waits, who is refused and until when."""
--- /dev/null
+++ b/src/crankseam/overload/gate.py
@@ -0,0 +1,600 @@
+"""Gate that each forwarded request passes before it is sent: it gets a place, waits or is refused.
+
+Inputs: the limit of concurrent requests (`concurrency`), the waiting line (`line`), the estimate of
+the answer (`estimate`), all exact and of this process; the slots of the service's back ends, from
+the newest discovery data; whether a slot is free, from load reports of at most
+`back_ends.LOAD_REPORT_MAX_AGE_S` seconds.
+Rule: A request of a contended service gets a place at once if nothing waits and the limit is not in
+use. Otherwise it waits, unless the estimate says that it can't be answered in time or the line has
+no room for it. A request that the estimate refuses is nevertheless given a place if nothing waits
+and a back end is known to have a free slot. A waiting request is refused as soon as the typical
+duration no longer fits into the time it has left, and all of them are judged again when the machine
+was suspended or back ends are lost. Requests of other services pass unlimited.
+Purpose: Keeps the back ends busy but not overfull, and lets callers return in time instead of
+waiting for an answer that can't come.
+Logged as: `request_queued`, `request_rejected_early`, `concurrency_limit_changed`,
+`hedge_withheld`.
+Tested by: tests/overload/test_gate.py, tests/overload/test_gate_machine.py,
+tests/platform/test_overload.py.
+
+All state is that of one process and is lost with it. A refused request was sent to nobody.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import itertools
+import logging
+import random
+from collections.abc import AsyncGenerator, Callable
+from dataclasses import dataclass, field
+from types import TracebackType
+from typing import Any, NamedTuple, Protocol
+
+from crankseam import clocks
+from crankseam.constants import OUTCOME_NOT_RUN
+from crankseam.errors import Unavailable
+from crankseam.jobs.places import slots_of
+from crankseam.overload.concurrency import LATENCY_TOLERANCE, ConcurrencyLimit
+from crankseam.overload.estimate import AnswerEstimate, DrainRate, estimate_answer
+from crankseam.overload.hedge_budget import HedgeBudget
+from crankseam.overload.latency import Latencies
+from crankseam.overload.line import Waiter, WaitingLine
+from crankseam.overload.retry_after import choose_retry_after_s
+from crankseam.serving.back_ends import BackEndRegistry
+from crankseam.serving.fair_order import ArrivalOrder, FairOrder
+from crankseam.serving.messages import InboundRequest
+from crankseam.serving.routes import Route
+
+log = logging.getLogger(__name__)
+
+LIMIT_LOG_INTERVAL_S = 1.0
+"""Shortest time, in seconds, between two log lines about the limit of one service."""
+
+
+class RefusalCause(enum.Enum):
+    """Why a request was refused before it was sent."""
+
+    ESTIMATE = "no answer in time"
+    LINE_FULL = "line full"
+    DISPLACED = "displaced by another request"
+    NO_BACK_END = "no back end"
+
+
+class ContentionLookup(Protocol):
+    """Tells for which services overload control is in effect; see `serving.contention`."""
+
+    def is_contended(self, service: str, /) -> bool:
+        """Whether callers compete for a service."""
+
+
+class GateClocks(NamedTuple):
+    """Clocks of a gate, in seconds; see `crankseam.clocks`."""
+
+    boottime_s: Callable[[], float] = clocks.boottime_s
+    monotonic_s: Callable[[], float] = clocks.monotonic_s
+
+
+SYSTEM_CLOCKS = GateClocks()
+"""Clocks of the machine."""
+
+
+class GateRequest(NamedTuple):
+    """A request at the gate.
+
+    Attributes
+    ==========
+
+    give_up_at : time, in seconds of `clocks.boottime_s`, at which the request is given up.
+    """
+
+    inbound: InboundRequest
+    route: Route
+    service: str
+    give_up_at: float
+
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is served first."""
+        priority = self.inbound.priority
+        return self.route.priority if priority is None else priority
+
+
+@dataclass(slots=True, eq=False)
+class _Waiting(Waiter):
+    """A waiting request with what the gate needs to decide about it."""
+
+    request: GateRequest = field(kw_only=True)
+    place: int = field(kw_only=True)
+    arrived_at: float = field(kw_only=True)
+    decided: asyncio.Future[Permit | Unavailable] = field(kw_only=True)
+
+
+class _ServiceState:
+    """Overload state of one service."""
+
+    def __init__(self, order: FairOrder) -> None:
+        self.limit = ConcurrencyLimit()
+        self.line = WaitingLine(order)
+        self.drain = DrainRate()
+        self.latencies = Latencies()
+        self.hedges = HedgeBudget()
+        self.running = 0
+        """Requests and hedges that hold a place."""
+        self.are_slots_outdated = True
+        """Whether back ends changed since the slots were counted."""
+        self.logged_limit = 0
+        self.logged_at = float("-inf")
+
+    def is_limit_in_use(self) -> bool:
+        """Whether no further request may run."""
+        return self.running >= self.limit.requests
+
+
+class Permit:
+    """Place of one request, to be released when the request has ended.
+
+    Parameters
+    ==========
+
+    state : state of the service; None if the service is not limited.
+    granted_at : monotonic time of the grant.
+    """
+
+    def __init__(
+        self,
+        gate: OverloadGate,
+        state: _ServiceState | None,
+        request: GateRequest,
+        granted_at: float,
+    ) -> None:
+        self._gate = gate
+        self._request = request
+        self._granted_at = granted_at
+        self._hedges = 0
+        self._state = state
+
+    def record_answer(self) -> None:
+        """Record that the request was answered without a rejection or a failure."""
+        if self._state is not None:
+            self._gate.record_answer(self._state, self._request, self._granted_at)
+
+    def may_hedge(self, slow: str) -> bool:
+        """Whether a hedge may be sent; it then holds a place until this permit is released.
+
+        Parameters
+        ==========
+
+        slow : id of the back end whose answer is late.
+        """
+        if self._state is None:
+            return True
+        if not self._gate.try_hedge(self._state, self._request, slow):
+            return False
+        self._hedges += 1
+        return True
+
+    def release(self, may_have_run: bool = True) -> None:
+        """Give the place back; further calls do nothing.
+
+        Parameters
+        ==========
+
+        may_have_run : whether a back end may have run the request.
+        """
+        state, self._state = self._state, None
+        if state is None:
+            return
+        state.running -= 1 + self._hedges
+        if may_have_run:
+            self._gate.record_end(state, self._granted_at)
+        self._gate.dispatch(state, self._request.service)
+
+
+class OverloadGate:
+    """Gate of one process for the requests that it forwards.
+
+    Parameters
+    ==========
+
+    contention : tells for which services the gate is in effect.
+    order : order among the tenants of one priority.
+    generator : source of the random waits that callers are told; set by tests.
+    """
+
+    def __init__(
+        self,
+        registry: BackEndRegistry,
+        contention: ContentionLookup,
+        order: FairOrder | None = None,
+        gate_clocks: GateClocks = SYSTEM_CLOCKS,
+        generator: random.Random | None = None,
+    ) -> None:
+        self._registry = registry
+        self._contention = contention
+        self._order: FairOrder = order if order is not None else ArrivalOrder()
+        self._boottime_s, self._monotonic_s = gate_clocks
+        self._generator = generator or random.Random()
+        self._states: dict[str, _ServiceState] = {}
+        self._numbers = itertools.count()
+        registry.on_change.append(self._handle_back_end_change)
+
+    # --- the way of a request
+
+    async def enter(self, request: GateRequest) -> Permit:
+        """Return the place of a request, after waiting for it if necessary.
+
+        Raises
+        ======
+
+        Unavailable : the request was refused and not sent to any back end.
+        """
+        if not self._contention.is_contended(request.service):
+            return Permit(self, None, request, self._monotonic_s())
+        state = self._current_state(request.service)
+        if not state.limit.slots:
+            raise self._refuse(state, request, RefusalCause.NO_BACK_END)
+        if not len(state.line) and not state.is_limit_in_use():
+            return self._grant(state, request)
+        estimate = self._estimate(state, request, self._place_of(state, request))
+        if not estimate.fits(self._left_s(request)):
+            if not len(state.line) and self._has_free_slot(request.service):
+                return self._grant(state, request)
+            raise self._refuse(state, request, RefusalCause.ESTIMATE)
+        return await self._wait(state, request)
+
+    async def _wait(self, state: _ServiceState, request: GateRequest) -> Permit:
+        waiting = self._join(state, request)
+        loop = asyncio.get_running_loop()
+        patience_s = self._left_s(request) - self._run_s(state, request)
+        timer = loop.call_later(max(0.0, patience_s), self._expire, state, waiting)
+        try:
+            decision = await waiting.decided
+        except asyncio.CancelledError:
+            self._abandon(state, waiting)
+            raise
+        finally:
+            timer.cancel()
+        if isinstance(decision, Unavailable):
+            raise decision
+        return decision
+
+    def _join(self, state: _ServiceState, request: GateRequest) -> _Waiting:
+        """Add a request to the line; raises Unavailable if the line has no room for it."""
+        waiting = _Waiting(
+            request.inbound.tenant,
+            request.priority,
+            request.give_up_at,
+            len(request.inbound.body),
+            next(self._numbers),
+            request=request,
+            place=self._place_of(state, request),
+            arrived_at=self._boottime_s(),
+            decided=asyncio.get_running_loop().create_future(),
+        )
+        displaced = state.line.add(waiting)
+        if displaced is waiting:
+            raise self._refuse(state, request, RefusalCause.LINE_FULL)
+        if isinstance(displaced, _Waiting):
+            self._decide(displaced, self._refuse_waiting(state, displaced, RefusalCause.DISPLACED))
+        return waiting
+
+    def _abandon(self, state: _ServiceState, waiting: _Waiting) -> None:
+        """Remove a request whose caller has gone, also if it was granted a place meanwhile."""
+        is_decided = waiting.decided.done() and not waiting.decided.cancelled()
+        decision = waiting.decided.result() if is_decided else None
+        if isinstance(decision, Permit):
+            decision.release(may_have_run=False)
+        elif decision is None:
+            state.line.remove(waiting)
+            self._log_queued(state, waiting, "cancelled")
+
+    def _expire(self, state: _ServiceState, waiting: _Waiting) -> None:
+        """Refuse a waiting request that can no longer be answered in time."""
+        if waiting.is_waiting:
+            state.line.remove(waiting)
+            self._decide(waiting, self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE))
+
+    @staticmethod
+    def _decide(waiting: _Waiting, decision: Permit | Unavailable) -> None:
+        if not waiting.decided.done():
+            waiting.decided.set_result(decision)
+        elif isinstance(decision, Permit):
+            decision.release(may_have_run=False)
+
+    def _grant(self, state: _ServiceState, request: GateRequest) -> Permit:
+        state.running += 1
+        state.hedges.record_request()
+        now = self._monotonic_s()
+        state.drain.set_busy(state.is_limit_in_use(), now)
+        expected_s = state.drain.typical_s or request.route.target_latency_s
+        self._order.charge(request.inbound.tenant, expected_s)
+        return Permit(self, state, request, now)
+
+    def _dispatch(self, state: _ServiceState) -> None:
+        """Give the free places to the requests that are next."""
+        while not state.is_limit_in_use():
+            waiting = state.line.take()
+            if waiting is None:
+                return
+            assert isinstance(waiting, _Waiting)
+            if self._run_s(state, waiting.request) > self._left_s(waiting.request):
+                refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE)
+                self._decide(waiting, refusal)
+                continue
+            self._log_queued(state, waiting, "granted")
+            self._decide(waiting, self._grant(state, waiting.request))
+
+    # --- called by permits and by the forwarder
+
+    def record_answer(self, state: _ServiceState, request: GateRequest, granted_at: float) -> None:
+        """Record the latency of an answered request, and adjust the limit."""
+        now = self._monotonic_s()
+        latency = state.latencies.add(request.route.name, now - granted_at, now)
+        if latency.rise() <= LATENCY_TOLERANCE:
+            state.limit.record_success(state.running)
+        elif not self._has_free_slot(request.service):
+            state.limit.record_high_latency(now, latency.smoothed_s)
+        self._log_limit(state, request.service)
+
+    def record_full(self, service: str) -> None:
+        """Record that a back end of a service rejected a request because it was full."""
+        state = self._states.get(service)
+        if state is None or not self._contention.is_contended(service):
+            return
+        state.limit.record_rejection(self._monotonic_s(), state.drain.typical_s)
+        self._log_limit(state, service)
+
+    def try_hedge(self, state: _ServiceState, request: GateRequest, slow: str) -> bool:
+        """Whether a request may be hedged; if so, the hedge occupies a place."""
+        tokens = state.hedges.tokens
+        refusal = state.hedges.try_take(len(state.line), state.running, state.limit.requests)
+        if refusal is None:
+            state.running += 1
+            return True
+        log.info(
+            "hedge_withheld",
+            extra={
+                "request": request.inbound.id,
+                "service": request.service,
+                "slow": slow,
+                "cause": refusal.value,
+                "tokens": round(tokens, 2),
+                "line": len(state.line),
+                "running": state.running,
+                "limit": state.limit.requests,
+            },
+        )
+        return False
+
+    def record_end(self, state: _ServiceState, granted_at: float) -> None:
+        """Record for how long a request occupied its place."""
+        now = self._monotonic_s()
+        state.drain.record_end(now - granted_at, now)
+
+    def dispatch(self, state: _ServiceState, service: str) -> None:
+        """Let the next requests run after places were given back."""
+        self._refresh(state, service)
+        self._dispatch(state)
+        state.drain.set_busy(state.is_limit_in_use(), self._monotonic_s())
+
+    def retry_after_s(self, request: GateRequest) -> float | None:
+        """Return the wait for a caller whose request no back end took; None if not contended."""
+        if not self._contention.is_contended(request.service):
+            return None
+        state = self._current_state(request.service)
+        return self._retry_after_s(state, request, self._drain_per_s(state, request))
+
+    def judge_anew(self) -> None:
+        """Refuse the waiting requests that can no longer be answered in time.
+
+        Called after a suspension of the machine, during which the timers stood still.
+        """
+        for state in self._states.values():
+            self._judge_line(state)
+
+    # --- estimates
+
+    def _left_s(self, request: GateRequest) -> float:
+        return request.give_up_at - self._boottime_s()
+
+    def _run_s(self, state: _ServiceState, request: GateRequest) -> float:
+        route = request.route
+        return state.latencies.typical_s(route.name, min(route.target_latency_s, route.timeout_s))
+
+    def _drain_per_s(self, state: _ServiceState, request: GateRequest) -> float:
+        assumed_s = request.route.target_latency_s
+        return state.drain.per_s(state.limit.requests, assumed_s, self._monotonic_s())
+
+    @staticmethod
+    def _place_of(state: _ServiceState, request: GateRequest) -> int:
+        return state.line.place_of(request.inbound.tenant, request.priority)
+
+    def _estimate(self, state: _ServiceState, request: GateRequest, place: int) -> AnswerEstimate:
+        drain_per_s = self._drain_per_s(state, request)
+        return estimate_answer(place, drain_per_s, self._run_s(state, request))
+
+    def _judge_line(self, state: _ServiceState) -> None:
+        """Refuse every waiting request that can't be answered in time, in order of the line."""
+        place = 0
+        for waiting in state.line.waiters():
+            assert isinstance(waiting, _Waiting)
+            estimate = self._estimate(state, waiting.request, place)
+            if estimate.fits(self._left_s(waiting.request)):
+                place += 1
+            else:
+                self._expire(state, waiting)
+
+    # --- back ends
+
+    def _handle_back_end_change(self) -> None:
+        for service, state in self._states.items():
+            state.are_slots_outdated = True
+            if len(state.line):
+                self._refresh(state, service)
+                self._dispatch(state)
+
+    def _current_state(self, service: str) -> _ServiceState:
+        state = self._states.get(service)
+        if state is None:
+            state = self._states[service] = _ServiceState(self._order)
+        self._refresh(state, service)
+        return state
+
+    def _refresh(self, state: _ServiceState, service: str) -> None:
+        """Count the slots again if back ends changed, and judge the line if some were lost."""
+        if not state.are_slots_outdated:
+            return
+        state.are_slots_outdated = False
+        former_slots = state.limit.slots
+        slots = sum(slots_of(back_end) for back_end in self._registry.of_service(service))
+        state.limit.set_slots(slots)
+        self._log_limit(state, service)
+        if not slots:
+            self._refuse_all(state)
+        elif slots < former_slots:
+            self._judge_line(state)
+
+    def _refuse_all(self, state: _ServiceState) -> None:
+        while (waiting := state.line.take()) is not None:
+            assert isinstance(waiting, _Waiting)
+            refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END)
+            self._decide(waiting, refusal)
+
+    def _has_free_slot(self, service: str) -> bool:
+        """Whether a back end is known to have a free slot; one that is avoided is not."""
+        now = self._monotonic_s()
+        return any(
+            back_end.avoid_until <= now and back_end.expected_load(now) < slots_of(back_end)
+            for back_end in self._registry.of_service(service)
+        )
+
+    # --- refusals, log and gauges
+
+    def _refuse(
+        self, state: _ServiceState, request: GateRequest, cause: RefusalCause, waited_s: float = 0.0
+    ) -> Unavailable:
+        """Log the refusal of a request, and return the error for its caller."""
+        place = self._place_of(state, request)
+        drain_per_s = self._drain_per_s(state, request)
+        estimate = self._estimate(state, request, place)
+        retry_after_s = self._retry_after_s(state, request, drain_per_s)
+        log.info(
+            "request_rejected_early",
+            extra={
+                "request": request.inbound.id,
+                "service": request.service,
+                "tenant": request.inbound.tenant,
+                "priority": request.priority,
+                "cause": cause.value,
+                "place": place,
+                "wait_s": round(estimate.wait_s, 3),
+                "run_s": round(estimate.run_s, 3),
+                "left_s": round(self._left_s(request), 3),
+                "waited_s": round(waited_s, 3),
+                "line": len(state.line),
+                "limit": state.limit.requests,
+                "drain_per_s": round(drain_per_s, 2),
+                "drain_age_s": self._drain_age_s(state),
+                "retry_after_s": round(retry_after_s, 3),
+            },
+        )
+        return Unavailable(cause.value, OUTCOME_NOT_RUN, retry_after_s)
+
+    def _refuse_waiting(
+        self, state: _ServiceState, waiting: _Waiting, cause: RefusalCause
+    ) -> Unavailable:
+        return self._refuse(state, waiting.request, cause, self._boottime_s() - waiting.arrived_at)
+
+    def _retry_after_s(
+        self, state: _ServiceState, request: GateRequest, drain_per_s: float
+    ) -> float:
+        drain_s = (len(state.line) + 1) / drain_per_s
+        left_s = request.inbound.deadline - self._boottime_s()
+        return choose_retry_after_s(drain_s, left_s, self._generator)
+
+    def _drain_age_s(self, state: _ServiceState) -> float | None:
+        """Seconds since the newest figure of the drain rate; None if there is none."""
+        age_s = state.drain.age_s(self._monotonic_s())
+        return round(age_s, 3) if age_s != float("inf") else None
+
+    def _log_queued(self, state: _ServiceState, waiting: _Waiting, outcome: str) -> None:
+        log.info(
+            "request_queued",
+            extra={
+                "request": waiting.request.inbound.id,
+                "service": waiting.request.service,
+                "tenant": waiting.tenant,
+                "priority": waiting.priority,
+                "place": waiting.place,
+                "waited_s": round(self._boottime_s() - waiting.arrived_at, 3),
+                "limit": state.limit.requests,
+                "line": len(state.line),
+                "outcome": outcome,
+            },
+        )
+
+    def _log_limit(self, state: _ServiceState, service: str) -> None:
+        """Log a changed limit, at most once in each `LIMIT_LOG_INTERVAL_S`."""
+        now, requests = self._monotonic_s(), state.limit.requests
+        if requests == state.logged_limit or now - state.logged_at < LIMIT_LOG_INTERVAL_S:
+            return
+        log.info(
+            "concurrency_limit_changed",
+            extra={
+                "service": service,
+                "old": state.logged_limit,
+                "new": requests,
+                "cause": state.limit.cause.value,
+                "slots": state.limit.slots,
+                "running": state.running,
+            },
+        )
+        state.logged_limit, state.logged_at = requests, now
+
+    def limit_total(self) -> int:
+        """Return the sum of the limits of all contended services that got requests."""
+        return sum(state.limit.requests for state in self._states.values())
+
+    def waiting_total(self) -> int:
+        """Return the number of requests that wait for any service."""
+        return sum(len(state.line) for state in self._states.values())
+
+
+class PermitHoldingBody(AsyncGenerator[bytes, None]):
+    """Body of a streamed answer, which keeps the place of its request until it has ended.
+
+    A generator that was never started can't release anything when it is closed; this one can.
+    """
+
+    def __init__(self, chunks: AsyncGenerator[bytes, None], permit: Permit) -> None:
+        self._chunks = chunks
+        self._permit = permit
+
+    async def asend(self, value: None) -> bytes:
+        """See AsyncGenerator."""
+        try:
+            return await self._chunks.asend(value)
+        except BaseException:
+            self._permit.release()
+            raise
+
+    async def athrow(
+        self,
+        typ: Any,
+        val: Any = None,
+        tb: TracebackType | None = None,
+    ) -> bytes:
+        """See AsyncGenerator."""
+        try:
+            return await self._chunks.athrow(typ, val, tb)
+        finally:
+            self._permit.release()
+
+    async def aclose(self) -> None:
+        """See AsyncGenerator."""
+        try:
+            await self._chunks.aclose()
+        finally:
+            self._permit.release()
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -2,9 +2,9 @@
 
 Owns the attempts of a request: their tasks, their cancellation at the deadline, and the updates to
 the state of each back end (slots in use, failures). The decisions are made elsewhere: `choice`
-selects the back end, `retry` limits the attempts, and `quarantine` holds back requests that make
-back ends crash. Relies on the registry for the back ends that discovery reports, and on a
-`BackEndClient` for the wire protocol.
+selects the back end, `retry` limits the attempts, `quarantine` holds back requests that make back
+ends crash, and `overload` decides who waits, who is refused and who is hedged. Relies on the
+registry for the back ends that discovery reports, and on a `BackEndClient` for the wire protocol.
 """
 
 from __future__ import annotations
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from crankseam import clocks
+from crankseam.overload.gate import GateRequest, OverloadGate, Permit, PermitHoldingBody
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import default_crash_limit
 from crankseam.quarantine.model import RequestIdentity
@@ -23,6 +24,7 @@
 from crankseam.serving import retry
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
+from crankseam.serving.contention import NoContention
 from crankseam.serving.messages import (
     Answer,
     AttemptBroken,
@@ -52,6 +54,7 @@
     service: str
     give_up_at: float
     tracker: RequestTracker
+    permit: Permit
     history: AttemptHistory = field(default_factory=AttemptHistory)
 
 
@@ -63,6 +66,7 @@
 
     guard : holds back requests during which back ends terminated.
     zone : zone of this process; among equally loaded back ends, those in this zone are preferred.
+    gate : limits the requests of contended services; no service is limited if it is missing.
 
     Attributes
     ==========
@@ -77,7 +81,9 @@
         client: BackEndClient,
         guard: CrashGuard,
         zone: str,
+        gate: OverloadGate | None = None,
     ) -> None:
+        self._gate = gate or OverloadGate(registry, NoContention())
         self.on_started: list[Callable[[str, float], None]] = []
         self._registry = registry
         self._client = client
@@ -99,19 +105,24 @@
             request_identity(request, route), default_crash_limit(route.kind)
         )
         await tracker.admit()
-        forwarding = _Forwarding(request, route, service, give_up_at, tracker)
+        gate_request = GateRequest(request, route, service, give_up_at)
+        permit = await self._enter_gate(gate_request, tracker)
+        forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit)
         history = forwarding.history
         answer: Answer | StreamingAnswer | None = None
         try:
             loop_deadline = asyncio.get_running_loop().time() + give_up_at - clocks.boottime_s()
             async with asyncio.timeout_at(loop_deadline):
                 answer = await self._attempt_until_answered(forwarding)
+            if answer is not None and not history.rejections and not retry.is_server_error(answer):
+                permit.record_answer()
         except TimeoutError:
             answer = None
             history.reasons.append(retry.give_up_reason(request, route))
         finally:
             if not isinstance(answer, StreamingAnswer):
                 tracker.close()
+                permit.release(may_have_run=history.began_at is not None)
             if history.began_at is not None:
                 for notify in self.on_started:
                     notify(request.tenant, history.began_at)
@@ -119,9 +130,22 @@
             answer = history.last_failure
         _log_outcome(forwarding, answer)
         if answer is None:
-            raise retry.give_up_problem(history)
+            retry_after_s = self._gate.retry_after_s(gate_request)
+            if retry_after_s is None:
+                retry_after_s = retry.RETRY_AFTER_NO_BACK_END_S
+            raise retry.give_up_problem(history, retry_after_s)
+        if isinstance(answer, StreamingAnswer):
+            return replace(answer, chunks=PermitHoldingBody(answer.chunks, permit))
         return answer
 
+    async def _enter_gate(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
+        """Return the place of a request; raises Unavailable if it is refused."""
+        try:
+            return await self._gate.enter(gate_request)
+        except BaseException:
+            tracker.close()
+            raise
+
     async def _attempt_until_answered(
         self, forwarding: _Forwarding
     ) -> Answer | StreamingAnswer | None:
@@ -163,7 +187,7 @@
             hedge_delay_s = retry.hedge_delay_s(forwarding.route)
             done, tasks = await asyncio.wait(tasks, timeout=hedge_delay_s)
             if not done:
-                second = self._choose_hedge(forwarding)
+                second = self._choose_hedge(forwarding, first)
                 if second is not None:
                     log.info(
                         "request_hedged",
@@ -182,7 +206,7 @@
             for task in tasks:
                 task.cancel()
 
-    def _choose_hedge(self, forwarding: _Forwarding) -> BackEnd | None:
+    def _choose_hedge(self, forwarding: _Forwarding, slow: BackEnd) -> BackEnd | None:
         """Return the back end for the hedged attempt; None if none is allowed or available."""
         history = forwarding.history
         if not retry.has_attempts_left(forwarding.route, history):
@@ -192,6 +216,8 @@
         second = self._choose(forwarding)
         if second is None or second.record.id in history.tried:
             return None
+        if not forwarding.permit.may_hedge(slow.record.id):
+            return None
         return second
 
     async def _attempt(
@@ -241,6 +267,8 @@
     def _handle_rejection(self, back_end: BackEnd, rejection: AttemptNotRun) -> None:
         back_end.record_rejection()
         self._guard.on_rejected(back_end, rejection)
+        if rejection.is_full:
+            self._gate.record_full(back_end.record.service)
         if rejection.wrong_instance:
             back_end.record_failure()
 
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -140,6 +140,51 @@
     "request_hedged": LogEvent(
         "A second attempt was started because the first one is slow.", ("request", "slow")
     ),
+    "request_queued": LogEvent(
+        "A request waited for a place at its service; `outcome`: granted, or cancelled by its"
+        " caller. `place` requests were before it when it came; `limit` and `line` as it left.",
+        (
+            "request",
+            "service",
+            "tenant",
+            "priority",
+            "place",
+            "waited_s",
+            "limit",
+            "line",
+            "outcome",
+        ),
+    ),
+    "request_rejected_early": LogEvent(
+        "A request was refused before it was sent, as `cause` says. `wait_s` and `run_s` are"
+        " estimated, `left_s` is what it had left; the drain rate is `drain_age_s` old.",
+        (
+            "request",
+            "service",
+            "tenant",
+            "priority",
+            "cause",
+            "place",
+            "wait_s",
+            "run_s",
+            "left_s",
+            "waited_s",
+            "line",
+            "limit",
+            "drain_per_s",
+            "drain_age_s",
+            "retry_after_s",
+        ),
+    ),
+    "concurrency_limit_changed": LogEvent(
+        "The limit of concurrent requests of this process at a service has changed since the last"
+        " line, of which there is at most one a second; `cause` is that of the last change.",
+        ("service", "old", "new", "cause", "slots", "running"),
+    ),
+    "hedge_withheld": LogEvent(
+        "A request whose first attempt is slow got no second one, as `cause` says.",
+        ("request", "service", "slow", "cause", "tokens", "line", "running", "limit"),
+    ),
     "request_refused": LogEvent(
         "The process answered a request itself with an error.",
         ("request", "status", "problem", "detail"),
--- a/src/crankseam/serving/messages.py
+++ b/src/crankseam/serving/messages.py
@@ -33,6 +33,7 @@
     received_at : time at which the request arrived.
     deadline : time until which the caller waits for the answer.
     tenant : name of the tenant that the request belongs to; empty if there is none.
+    priority : priority of the request, 0 is served first; None for the priority of its route.
     """
 
     id: str
@@ -45,6 +46,7 @@
     received_at: float
     deadline: float
     tenant: str = ""
+    priority: int | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -77,6 +79,13 @@
     had_free_slots: bool = False
     """Whether the back end reported free slots: the reason for the rejection was then not its load
     but, for instance, a weight version that it is loading."""
+    was_received: bool = False
+    """Whether the back end itself rejected the request; otherwise the connection failed."""
+
+    @property
+    def is_full(self) -> bool:
+        """Whether the back end rejected the request for lack of a free slot."""
+        return self.was_received and not self.had_free_slots and not self.wrong_instance
 
 
 @dataclass
--- a/src/crankseam/serving/retry.py
+++ b/src/crankseam/serving/retry.py
@@ -40,7 +40,8 @@
 
 RETRY_AFTER_NO_BACK_END_S = 0.1
 """`Retry-After`, in seconds, of a request that no back end accepted: slots become free within the
-duration of one request. The value is fixed, without jitter."""
+duration of one request. The value is fixed, without jitter; at a contended service
+`overload.retry_after` replaces it."""
 RETRY_AFTER_NO_CONFIGURATION_S = 0.3
 """`Retry-After`, in seconds, of a process that has not read a configuration yet: it is starting,
 and the load balancer in front offers other processes."""
@@ -146,9 +147,17 @@
     return is_server_error(answer) and route.kind is RequestKind.REPEATABLE
 
 
-def give_up_problem(history: AttemptHistory) -> Problem:
-    """Return the error reported to the caller of a request that was given up."""
+def give_up_problem(
+    history: AttemptHistory, retry_after_s: float = RETRY_AFTER_NO_BACK_END_S
+) -> Problem:
+    """Return the error reported to the caller of a request that was given up.
+
+    Parameters
+    ==========
+
+    retry_after_s : seconds after which the caller may return if the request did not run.
+    """
     reason = history.reasons[-1] if history.reasons else "no back end took it"
     if history.may_have_run:
         return OutcomeUnknown(reason, OUTCOME_UNKNOWN)
-    return Unavailable(reason, OUTCOME_NOT_RUN, RETRY_AFTER_NO_BACK_END_S)
+    return Unavailable(reason, OUTCOME_NOT_RUN, retry_after_s)
--- a/src/crankseam/story.py
+++ b/src/crankseam/story.py
@@ -39,6 +39,8 @@
         "order_failed",
     }
 )
+SERVICE_EVENTS = frozenset({"concurrency_limit_changed"})
+"""Events of a process and a service that may explain why a request waited or was refused."""
 SURROUNDING_MARGIN_S = 2.0
 """Seconds before the first and after the last line of the id, within which events of the processes
 and back ends involved are included."""
@@ -117,12 +119,17 @@
     back_ends = {line["back_end"] for line in subject_lines if "back_end" in line}
     for line in subject_lines:
         back_ends.update(line.get("attempts") or [])
+        if "slow" in line:
+            back_ends.add(line["slow"])
+    services = {(line.get("node"), line["service"]) for line in subject_lines if "service" in line}
     found = []
     for line in lines:
         if line in subject_lines or not start <= float(line["time"]) <= end:
             continue
         explains_process = line["event"] in SURROUNDING_EVENTS and line.get("node") in nodes
         explains_back_end = line["event"] in BACK_END_EVENTS and line.get("back_end") in back_ends
-        if explains_process or explains_back_end:
+        is_of_service = (line.get("node"), line.get("service")) in services
+        explains_service = line["event"] in SERVICE_EVENTS and is_of_service
+        if explains_process or explains_back_end or explains_service:
             found.append(line)
     return found
--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_ingress.py
@@ -1,7 +1,7 @@
 """Deadlines that callers send: a request must never wait for ever, nor be due at no time at all.
 
-`Deadline-Ms` is read as a float, and ``inf``, ``nan`` and ``1e308`` are floats. A deadline that never
-comes or that compares as false with every time reaches timers, the waiting line and estimates.
+`Deadline-Ms` is read as a float, and ``inf``, ``nan`` and ``1e308`` are floats. A deadline that
+never comes, or that compares as false with every time, reaches timers, the line and estimates.
 """
 
 import math
@@ -15,7 +15,6 @@
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import BadRequest
 
-
 ROUNDING_S = 1e-6
 
 
