--- a/tests/cli/test_explain_logs.py
+++ b/tests/cli/test_explain_logs.py
@@ -10,7 +10,7 @@
 
 from crankseam.cli.main import main
 from crankseam.serving.logs import JsonLineHandler
-from tests.platform.deployment import Deployment
+from tests.platform.deployment import ROUTES, Deployment, route
 from tests.support.waiting import eventually
 
 
@@ -78,6 +78,28 @@
     assert "job_accepted" in text and "results_listed" in text and "failure 3" in text
 
 
+async def test_a_request_refused_under_load_shows_its_estimate_and_the_limit_of_then(log_file):
+    async with Deployment(samplers=1) as deployment:
+        deployment.samplers[0].slots = 1
+        await deployment.put("servers/i-0", deployment.samplers[0].entry())
+        urgent = route("r-urgent", "/urgent-job/", "rollout", priority=1)
+        await deployment.configure(routes=[*ROUTES, urgent])
+        front = await deployment.start_front()
+        deployment.samplers[0].faults.hang = True
+        first = asyncio.create_task(deployment.ask(front, "/once/x", request_id="first"))
+        await eventually(front.gate.limit_total)
+        status, _, _ = await deployment.ask(
+            front, "/once/x", request_id="refused", Deadline_Ms="300"
+        )
+        assert status == 503
+        first.cancel()
+        await asyncio.gather(first, return_exceptions=True)
+    code, text = run_explain("refused", log_file)
+    assert code == 0 and "request_rejected_early" in text and "cause=no answer in time" in text
+    assert "left_s=" in text and "wait_s=" in text and "request_refused" in text
+    assert "concurrency_limit_changed" in text.partition("meanwhile:")[2]
+
+
 def test_an_unknown_id_is_said_and_odd_lines_are_skipped(tmp_path):
     file = tmp_path / "x.log"
     file.write_text('not json\n  1.5 n {"event": "x"}\n{"time": 1, "event": "y", "job": "j"}\n{"')
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -8,7 +8,8 @@
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
 from crankseam.overload.gate import PermitHoldingBody, RefusalCause
-from crankseam.overload.line import MAX_LINE_ENTRIES
+from crankseam.overload.line import MAX_LINE_ENTRIES, WaitingLine
+from crankseam.serving.fair_order import ArrivalOrder
 from tests.overload.rig import SERVICE, Contended, LoggedEvents, Rig, settle, virtual
 
 
@@ -203,6 +204,23 @@
     (await waiting[4]).release()
 
 
+@virtual
+async def test_a_displaced_request_is_refused_at_once():
+    """One that is only taken from the line would be held until its caller gives up."""
+    rig = Rig(slots=1)
+    permit = await rig.gate.enter(rig.request())
+    rig.state.line = WaitingLine(ArrivalOrder(), max_entries=2)
+    large = [rig.enter(f"q{number}", tenant="large") for number in range(2)]
+    await settle()
+    small = rig.enter("small", tenant="small")
+    await settle()
+    assert [task.done() for task in (*large, small)] == [False, True, False]
+    assert large[1].exception().detail == RefusalCause.DISPLACED.value
+    permit.release()
+    for task in (large[0], small):
+        (await task).release()
+
+
 @virtual
 async def test_a_caller_that_goes_as_its_place_is_granted_gives_the_place_back():
     """A place is granted by setting a future; its task may be cancelled before it sees the result.
