--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -273,6 +273,22 @@
     assert [line.cause for line in events.named("concurrency_limit_changed")][0] == "rejected"
 
 
+@virtual
+async def test_rejections_before_anything_was_answered_count_once_too():
+    """At the start of a burst no duration is known yet, and many attempts are rejected at once.
+
+    If the pause between two decreases were the typical duration of nothing, the limit would fall
+    to one request.
+    """
+    rig = Rig(slots=100)
+    permits = [await rig.gate.enter(rig.request()) for _ in range(50)]
+    for _ in permits:
+        rig.gate.record_full(SERVICE)
+    assert rig.state.limit.requests == 70
+    for permit in permits:
+        permit.release(may_have_run=False)
+
+
 @virtual
 async def test_a_stream_holds_its_place_until_its_body_ends_even_if_nobody_reads_it():
     """The `finally` of a generator that was never started does not run when it is closed."""
