--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -124,9 +124,15 @@
         """Requests and hedges that hold a place."""
         self.are_slots_outdated = True
         """Whether back ends changed since the slots were counted."""
+        self.assumed_s = 0.0
+        """Duration that is assumed until a request has ended: the target latency of a route."""
         self.logged_limit = 0
         self.logged_at = float("-inf")
 
+    def expected_s(self) -> float:
+        """Return the seconds for which a request is expected to occupy its place."""
+        return self.drain.typical_s or self.assumed_s
+
     def is_limit_in_use(self) -> bool:
         """Whether no further request may run."""
         return self.running >= self.limit.requests
@@ -308,8 +314,8 @@
         state.hedges.record_request()
         now = self._monotonic_s()
         state.drain.set_busy(state.is_limit_in_use(), now)
-        expected_s = state.drain.typical_s or request.route.target_latency_s
-        self._order.charge(request.inbound.tenant, expected_s)
+        state.assumed_s = request.route.target_latency_s
+        self._order.charge(request.inbound.tenant, state.expected_s())
         return Permit(self, state, request, now)
 
     def _dispatch(self, state: _ServiceState) -> None:
@@ -343,7 +349,7 @@
         state = self._states.get(service)
         if state is None or not self._contention.is_contended(service):
             return
-        state.limit.record_rejection(self._monotonic_s(), state.drain.typical_s)
+        state.limit.record_rejection(self._monotonic_s(), state.expected_s())
         self._log_limit(state, service)
 
     def try_hedge(self, state: _ServiceState, request: GateRequest, slow: str) -> bool:
