Overload gate: bodies of unlimited streams stay unwrapped; free slots are looked for only when the limit may fall

Symptom: none seen; by reading, a service that isn't contended got a wrapper round each stream, and each answer of a slow time read all back ends.

--- a/src/crankseam/overload/concurrency.py
+++ b/src/crankseam/overload/concurrency.py
@@ -109,8 +109,12 @@
         """Lower the limit because requests take long; see `record_rejection`."""
         self._lower(LATENCY_FACTOR, LimitCause.LATENCY, now, typical_s)
 
+    def may_fall(self, now: float, typical_s: float) -> bool:
+        """Whether the last decrease was at least one typical duration ago."""
+        return now - self._lowered_at >= typical_s
+
     def _lower(self, factor: float, cause: LimitCause, now: float, typical_s: float) -> None:
-        if now - self._lowered_at < typical_s:
+        if not self.may_fall(now, typical_s):
             return
         self._lowered_at = now
         self._change(self._limit * factor, cause)
--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -166,6 +166,10 @@
         if self._state is not None:
             self._gate.record_answer(self._state, self._request, self._granted_at)
 
+    def hold_during(self, chunks: AsyncGenerator[bytes, None]) -> AsyncGenerator[bytes, None]:
+        """Return the body of a streamed answer such that its end releases this permit."""
+        return chunks if self._state is None else PermitHoldingBody(chunks, self)
+
     def may_hedge(self, slow: str) -> bool:
         """Whether a hedge may be sent; it then holds a place until this permit is released.
 
@@ -340,8 +344,9 @@
         latency = state.latencies.add(request.route.name, now - granted_at, now)
         if latency.rise() <= LATENCY_TOLERANCE:
             state.limit.record_success(state.running)
-        elif not self._has_free_slot(request.service):
-            state.limit.record_high_latency(now, latency.smoothed_s)
+        elif state.limit.may_fall(now, latency.smoothed_s):
+            if not self._has_free_slot(request.service):
+                state.limit.record_high_latency(now, latency.smoothed_s)
         self._log_limit(state, request.service)
 
     def record_full(self, service: str) -> None:
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -16,7 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from crankseam import clocks
-from crankseam.overload.gate import GateRequest, OverloadGate, Permit, PermitHoldingBody
+from crankseam.overload.gate import GateRequest, OverloadGate, Permit
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import default_crash_limit
 from crankseam.quarantine.model import RequestIdentity
@@ -135,7 +135,7 @@
                 retry_after_s = retry.RETRY_AFTER_NO_BACK_END_S
             raise retry.give_up_problem(history, retry_after_s)
         if isinstance(answer, StreamingAnswer):
-            return replace(answer, chunks=PermitHoldingBody(answer.chunks, permit))
+            return replace(answer, chunks=permit.hold_during(answer.chunks))
         return answer
 
     async def _enter_gate(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
