--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -289,6 +289,25 @@
         permit.release(may_have_run=False)
 
 
+@virtual
+async def test_after_a_moment_of_full_back_ends_the_limit_is_back_within_ten_durations():
+    """A burst of others fills all back ends for some seconds and brings the limit down to one.
+
+    If it then rose by one a round only, callers would be refused for many rounds before back ends
+    that report free slots.
+    """
+    rig = Rig(back_ends=10, slots=8)
+    await rig.run(duration_s=0.1)
+    for _ in range(20):
+        rig.gate.record_full(SERVICE)
+        await asyncio.sleep(0.2)
+    assert rig.state.limit.requests == 1
+    callers = [asyncio.create_task(rig.run(duration_s=0.1, left_s=50.0)) for _ in range(400)]
+    await asyncio.sleep(10 * 0.1)
+    assert rig.state.limit.requests >= 40
+    await asyncio.gather(*callers)
+
+
 @virtual
 async def test_a_stream_holds_its_place_until_its_body_ends_even_if_nobody_reads_it():
     """The `finally` of a generator that was never started does not run when it is closed."""
