Test: a thousand callers go in one turn, together with the one that runs (fails)

Symptom: RecursionError, seen when a test with 400 waiting callers was cancelled. Cause: a waiter whose task is cancelled is in the line until the task runs; a grant to it comes back and is dispatched from within the dispatch.

--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -204,6 +204,27 @@
     (await waiting[4]).release()
 
 
+@virtual
+async def test_thousand_callers_may_go_in_one_turn_together_with_the_one_that_runs():
+    """A cancelled waiter stays in the line until its task runs.
+
+    If the place of the one that ran is offered to it and comes back, which offers it to the next
+    one, each cancelled waiter adds a level of recursion.
+    """
+    rig = Rig(slots=1)
+    tasks = [asyncio.create_task(rig.run(f"q{number}", left_s=2000.0)) for number in range(1000)]
+    await settle()
+    assert rig.gate.waiting_total() > 500
+    for task in tasks:
+        task.cancel()
+    results = await asyncio.gather(*tasks, return_exceptions=True)
+    unexpected = [
+        each for each in results if not isinstance(each, asyncio.CancelledError | Unavailable)
+    ]
+    assert not unexpected
+    assert rig.state.running == rig.gate.waiting_total() == 0
+
+
 @virtual
 async def test_a_displaced_request_is_refused_at_once():
     """One that is only taken from the line would be held until its caller gives up."""
