--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -310,8 +310,6 @@
     def _decide(waiting: _Waiting, decision: Permit | Unavailable) -> None:
         if not waiting.decided.done():
             waiting.decided.set_result(decision)
-        elif isinstance(decision, Permit):
-            decision.release(may_have_run=False)
 
     def _grant(self, state: _ServiceState, request: GateRequest) -> Permit:
         state.running += 1
@@ -329,6 +327,8 @@
             if waiting is None:
                 return
             assert isinstance(waiting, _Waiting)
+            if waiting.decided.done():
+                continue  # its caller has gone, but its task has not run yet
             if self._run_s(state, waiting.request) > self._left_s(waiting.request):
                 refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE)
                 self._decide(waiting, refusal)
