--- a/src/crankseam/overload/concurrency.py
+++ b/src/crankseam/overload/concurrency.py
@@ -2,15 +2,16 @@
 
 Inputs: the slots of the service's back ends, from the newest discovery data; rejections by back
 ends that were full, as they arrive; the smoothed latency of the service's requests and the lowest
-value it had lately (see `latency`); whether a back end is known to have a free slot, from load
+value it had lately (see `latency`); the slots that are known to be free, from load
 reports of at most `back_ends.LOAD_REPORT_MAX_AGE_S` seconds. Times are monotonic seconds.
 Rule: The limit starts at the number of slots. It is multiplied by `REJECTION_FACTOR` when a back
 end rejects a request because it is full, and by `LATENCY_FACTOR` when the latency is above
 `LATENCY_TOLERANCE` times its recent minimum while no back end is known to have a free slot; by both
 together at most once in a typical duration, since a lower limit shows its effect only when running
-requests have ended. It rises by one for each `limit` requests that succeed while it is in use. When
-slots appear or disappear, it changes at once in proportion. It is at least `MIN_LIMIT` and at most
-the number of slots.
+requests have ended. It rises by one for each `limit` requests that succeed while it is in use, and
+by one for each of them while `MANY_FREE_FRACTION` of the slots are known to be free. When slots
+appear or disappear, it changes at once in proportion. It is at least `MIN_LIMIT` and at most the
+number of slots.
 Purpose: Keeps requests in the waiting line, where they can be ordered and refused, instead of at
 full back ends. Processes that share back ends reach similar limits without messages between them.
 Logged as: `concurrency_limit_changed`.
@@ -35,6 +36,12 @@
 spends most of its time running rather than queued at the back end."""
 INCREASE_PER_ROUND = 1.0
 """Requests by which the limit rises while as many requests as the limit succeed."""
+FAST_INCREASE = 1.0
+"""Requests by which the limit rises with each success while many slots are free. It then doubles in
+a round, so that it recovers within seconds after the back ends were full for a moment."""
+MANY_FREE_FRACTION = 0.25
+"""Fraction of the slots that are free if many are. Fewer are no reason for a fast rise: reports are
+old, and other processes see the same free slots."""
 
 
 class LimitCause(enum.Enum):
@@ -84,16 +91,27 @@
         self.slots = slots
         self._change(target, LimitCause.BACK_ENDS)
 
-    def record_success(self, running: int) -> None:
-        """Raise the limit a little if it was in use when a request succeeded.
+    def may_rise(self, running: int) -> bool:
+        """Whether the limit is in use and below the slots.
 
         Parameters
         ==========
 
-        running : number of running requests, including the one that succeeded.
+        running : number of running requests, including one that has just succeeded.
         """
-        if running >= self.requests:
-            self._change(self._limit + INCREASE_PER_ROUND / self._limit, LimitCause.SUCCESS)
+        return running >= self.requests and self._limit < self.slots
+
+    def record_success(self, free_slots: int) -> None:
+        """Raise the limit because a request succeeded; called only if the limit may rise.
+
+        Parameters
+        ==========
+
+        free_slots : slots that are known to be free.
+        """
+        has_many_free = free_slots >= self.slots * MANY_FREE_FRACTION
+        increase = FAST_INCREASE if has_many_free else INCREASE_PER_ROUND / self._limit
+        self._change(self._limit + increase, LimitCause.SUCCESS)
 
     def record_rejection(self, now: float, typical_s: float) -> None:
         """Lower the limit because a back end was full.
--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -26,6 +26,7 @@
 import enum
 import itertools
 import logging
+import math
 import random
 from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
@@ -249,7 +250,7 @@
             return self._grant(state, request)
         estimate = self._estimate(state, request, self._place_of(state, request))
         if not estimate.fits(self._left_s(request)):
-            if not len(state.line) and self._has_free_slot(request.service):
+            if not len(state.line) and self._free_slots(request.service):
                 return self._grant(state, request)
             raise self._refuse(state, request, RefusalCause.ESTIMATE)
         return await self._wait(state, request)
@@ -302,7 +303,7 @@
 
     def _expire(self, state: _ServiceState, waiting: _Waiting) -> None:
         """Refuse a waiting request that can no longer be answered in time."""
-        if waiting.is_waiting:
+        if waiting.is_waiting and not waiting.decided.done():
             state.line.remove(waiting)
             self._decide(waiting, self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE))
 
@@ -343,9 +344,10 @@
         now = self._monotonic_s()
         latency = state.latencies.add(request.route.name, now - granted_at, now)
         if latency.rise() <= LATENCY_TOLERANCE:
-            state.limit.record_success(state.running)
+            if state.limit.may_rise(state.running):
+                state.limit.record_success(self._free_slots(request.service))
         elif state.limit.may_fall(now, latency.smoothed_s):
-            if not self._has_free_slot(request.service):
+            if not self._free_slots(request.service):
                 state.limit.record_high_latency(now, latency.smoothed_s)
         self._log_limit(state, request.service)
 
@@ -473,12 +475,13 @@
             refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END)
             self._decide(waiting, refusal)
 
-    def _has_free_slot(self, service: str) -> bool:
-        """Whether a back end is known to have a free slot; one that is avoided is not."""
+    def _free_slots(self, service: str) -> int:
+        """Return how many slots are known to be free; those of avoided back ends do not count."""
         now = self._monotonic_s()
-        return any(
-            back_end.avoid_until <= now and back_end.expected_load(now) < slots_of(back_end)
+        return sum(
+            max(0, math.ceil(slots_of(back_end) - back_end.expected_load(now)))
             for back_end in self._registry.of_service(service)
+            if back_end.avoid_until <= now
         )
 
     # --- refusals, log and gauges
--- a/tests/overload/test_concurrency.py
+++ b/tests/overload/test_concurrency.py
@@ -29,7 +29,8 @@
         if kind == "slots":
             limit.set_slots(value)
         elif kind == "success":
-            limit.record_success(value)
+            if limit.may_rise(value):
+                limit.record_success(value)
         elif kind == "rejection":
             limit.record_rejection(float(now), value)
         else:
@@ -62,14 +63,32 @@
     assert limit.requests == 63
 
 
-def test_it_rises_by_one_a_round_and_only_while_it_is_in_use():
-    limit = limit_of(100)
+def succeed(limit, running, free_slots):
+    if limit.may_rise(running):
+        limit.record_success(free_slots)
+
+
+def lowered_limit(slots):
+    limit = limit_of(slots)
     for now in range(5):
         limit.record_rejection(float(now), 0.5)
+    return limit
+
+
+def test_it_rises_by_one_a_round_and_only_while_it_is_in_use():
+    limit = lowered_limit(100)
     low = limit.requests
     for _ in range(100):
-        limit.record_success(running=low - 1)
+        succeed(limit, running=low - 1, free_slots=0)
     assert limit.requests == low
     for _ in range(2 * (low + 2)):
-        limit.record_success(running=100)
+        succeed(limit, running=100, free_slots=24)
     assert low + 1 <= limit.requests <= low + 3
+
+
+def test_it_doubles_in_a_round_while_many_slots_are_free():
+    limit = lowered_limit(100)
+    low = limit.requests
+    for _ in range(low):
+        succeed(limit, running=100, free_slots=25)
+    assert limit.requests == 2 * low
