Open jobs tell their priority, expected work and due time

Symptom: shares of the samplers follow the items of the last step times their mean seconds; no process knows how urgent the open work of a model is. Cause: the value of an open job's key holds neither work nor due time. Change: OpenJob has priority, work_s and longest_item_s (by the hints of all items), and due_s of the route, all optional. ModelDemand.due_work gives the remaining work by priority with the time left, as a peak over the pause between two steps (jobs/due_work.py). Nothing uses it yet. Tests show that the build before decodes it, and that its values are decoded.

--- a/src/crankseam/jobs/acceptance.py
+++ b/src/crankseam/jobs/acceptance.py
@@ -9,6 +9,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from crankseam import clocks
@@ -59,8 +60,10 @@
 
     claims : its ``active`` flag tells whether this process runs jobs; it is False once the process
         drains.
-    item_seconds : estimates how long each item occupies a sampler slot; the estimate is stored
+    item_seconds : estimates how long each item occupies a sampler slot; the estimates are stored
         with the accepted job.
+    due_s : returns the seconds until the results of a job are due, infinite if never; stored with
+        the accepted job.
     """
 
     def __init__(
@@ -70,12 +73,14 @@
         running: RunningJobs,
         claims: JobClaims,
         item_seconds: ItemSeconds,
+        due_s: Callable[[JobDefinition], float],
     ) -> None:
         self._repository = repository
         self._lease = lease
         self._running = running
         self._claims = claims
         self._item_seconds = item_seconds
+        self._due_s = due_s
 
     async def submit(self, job: JobDefinition, deadline: float) -> None:
         """Accept a job; returns once the job is stored durably.
@@ -132,8 +137,7 @@
         while True:
             try:
                 lease = await self._lease.ensure() if self._claims.active else NO_LEASE
-                item_s = self._item_seconds.mean_s(job)
-                return _AcceptedJob(await self._repository.create(job, lease, item_s), lease)
+                return _AcceptedJob(await self._create(job, lease), lease)
             except LeaseExpired:
                 self._lease.mark_expired()
             except KeyValueError as error:
@@ -145,6 +149,12 @@
                     raise
                 await asyncio.sleep(delay)
 
+    async def _create(self, job: JobDefinition, lease: int) -> bool:
+        """Create the job in the store, with what all processes need to know of its work."""
+        item_s = self._item_seconds.mean_s(job)
+        work = self._item_seconds.expected_work(job)
+        return await self._repository.create(job, lease, item_s, work, self._due_s(job))
+
     def _run(self, job: JobDefinition, lease: int) -> None:
         self._running.record_ownership(job.id, lease)
         self._running.start(job, [], {})
--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -2,6 +2,7 @@
 
 Keeps for each model the recent peak of concurrently open items, computed from the keys of open
 jobs, which all processes follow. The controllers that order weight versions and samplers use it.
+Also keeps the recent peak of the work that is due, by priority; see due_work.py.
 """
 
 from __future__ import annotations
@@ -11,6 +12,9 @@
 
 import msgspec
 
+from crankseam.jobs.due_work import RecentNeeds, due_work
+from crankseam.orders.demand import DueWork, ModelWork
+
 PEAK_RETENTION_S = 30.0
 """Seconds for which a peak counts. A training step comes every few seconds, and no item is open
 between two steps, so the current number alone would drop to zero."""
@@ -19,12 +23,19 @@
 class OpenJob(msgspec.Struct, frozen=True):
     """The stored value of an open job's key, which all processes read.
 
+    Processes of earlier builds write it without the later fields, so each field has a default.
+
     Attributes
     ==========
 
     items : number of the job's items.
     min_version : oldest weight version that may generate the job's tokens.
     item_s : expected seconds for which an item occupies a sampler slot; 0 if unknown.
+    priority : the job's priority; 0 is the most urgent.
+    work_s : expected seconds for which all items occupy sampler slots, by their hints; 0 if
+        unknown.
+    longest_item_s : expected seconds for which the longest item occupies a slot; 0 if unknown.
+    due_s : seconds from the job's acceptance until its results are due; 0 if never or unknown.
     """
 
     model: str = ""
@@ -32,6 +43,18 @@
     min_version: int = 0
     item_s: float = 0.0
     tenant: str = ""
+    priority: int = 5
+    work_s: float = 0.0
+    longest_item_s: float = 0.0
+    due_s: float = 0.0
+
+    def expected_work_s(self) -> float:
+        """Expected slot-seconds of all items; 0 if unknown."""
+        return self.work_s or self.items * self.item_s
+
+    def tightness(self) -> float:
+        """See ModelWork."""
+        return self.longest_item_s / self.due_s if self.due_s > 0.0 else 0.0
 
 
 def decode_open_job(value: bytes) -> OpenJob:
@@ -43,32 +66,43 @@
 
 
 class ModelDemand:
-    """The recent peak of concurrently open items and the needs of the newest jobs, by model."""
+    """The recent peaks of open items and due work and the needs of the newest jobs, by model."""
 
     def __init__(self) -> None:
         self._open_jobs: dict[str, OpenJob] = {}
+        self._seen_at: dict[str, float] = {}
+        """Monotonic time at which this process first saw each open job."""
         self._peaks: dict[str, tuple[int, float]] = {}
         """Peak number of open items, and the monotonic time at which it was last reached."""
         self._min_usable_versions: dict[str, int] = {}
         self._item_s: dict[str, float] = {}
         """Expected seconds per item from the newest job that states them, by model."""
+        self._tightness: dict[str, float] = {}
+        """Tightness of the newest job that states it, by model."""
+        self._recent_needs: dict[str, RecentNeeds] = {}
 
     def opened(self, job_id: str, job: OpenJob) -> None:
         """Add an open job."""
         self._open_jobs[job_id] = job
+        self._seen_at.setdefault(job_id, time.monotonic())
         self._min_usable_versions[job.model] = max(
             self._min_usable_versions.get(job.model, 0), job.min_version
         )
         if job.item_s > 0.0:
             self._item_s[job.model] = job.item_s
+        if job.tightness() > 0.0:
+            self._tightness[job.model] = job.tightness()
         self._update_peak(job.model)
+        self.due_work(job.model)
 
     def ended(self, job_id: str) -> None:
         """Remove a job that is no longer open; an unknown job is ignored."""
         job = self._open_jobs.get(job_id)
         if job is not None:
             self._update_peak(job.model)
+            self.due_work(job.model)
             del self._open_jobs[job_id]
+            del self._seen_at[job_id]
 
     def _update_peak(self, model: str) -> None:
         items = self._open_items()[model]
@@ -93,6 +127,22 @@
         items, item_s = self.peak_open_items(model), self._item_s.get(model)
         return items * item_s if items is not None and item_s is not None else None
 
+    def due_work(self, model: str) -> ModelWork | None:
+        """See Demand."""
+        now = time.monotonic()
+        works: list[DueWork] = []
+        for job_id, job in self._open_jobs.items():
+            if job.model != model or not job.items:
+                continue
+            work_s = job.expected_work_s() or job.items * self._item_s.get(model, 0.0)
+            if work_s <= 0.0:
+                return None
+            work = due_work(job.priority, work_s, job.due_s, now - self._seen_at[job_id])
+            if work is not None:
+                works.append(work)
+        needs = self._recent_needs.setdefault(model, RecentNeeds())
+        return ModelWork(needs.update(works, now), self._tightness.get(model, 0.0))
+
     def min_usable_version(self, model: str) -> int | None:
         """Highest `min_version` among the jobs seen of a model; None if no job was seen."""
         return self._min_usable_versions.get(model)
--- a/src/crankseam/jobs/item_seconds.py
+++ b/src/crankseam/jobs/item_seconds.py
@@ -1,7 +1,8 @@
 """Estimates how long items of each model hold places at samplers, from items that have ended.
 
-Owns decaying sums of seconds and hinted tokens per model, in this process's memory. The estimate is
-stored with each accepted job, and all processes use it to divide the samplers among the models.
+Owns decaying sums of seconds and hinted tokens per model, in this process's memory. The estimates
+are stored with each accepted job, and all processes use them to divide the samplers, or at
+contended services their capacity, among the models.
 """
 
 from __future__ import annotations
@@ -16,6 +17,21 @@
 """Number of items of a model that must have ended before an estimate is given."""
 
 
+@dataclass(frozen=True, slots=True)
+class ExpectedWork:
+    """Expected seconds for which the items of a job hold places; 0 if unknown.
+
+    Attributes
+    ==========
+
+    total_s : sum over all items.
+    longest_item_s : seconds of the item with the largest hint.
+    """
+
+    total_s: float = 0.0
+    longest_item_s: float = 0.0
+
+
 @dataclass(slots=True)
 class _Sums:
     """Exponentially decaying sums over ended items; `items` is a plain count."""
@@ -60,6 +76,15 @@
         """
         self._sums.setdefault(model, _Sums()).add(held_s, _work_units(item))
 
+    def expected_work(self, job: JobDefinition) -> ExpectedWork:
+        """Expected seconds for which the items of a job hold places, by their hints."""
+        sums = self._sums.get(job.model)
+        if sums is None or sums.items < MIN_ITEMS or not job.items:
+            return ExpectedWork()
+        units = [_work_units(item) for item in job.items]
+        unit_s = sums.held_s / sums.units
+        return ExpectedWork(sum(units) * unit_s, max(units) * unit_s)
+
     def mean_s(self, job: JobDefinition) -> float:
         """Expected seconds for which an item of a job holds places; 0 if unknown."""
         sums = self._sums.get(job.model)
--- a/src/crankseam/jobs/repository.py
+++ b/src/crankseam/jobs/repository.py
@@ -21,6 +21,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass
 
 import msgspec
@@ -38,6 +39,7 @@
 )
 from crankseam.jobs.demand import OpenJob
 from crankseam.jobs.errors import JobIdTaken, ResultsConflict
+from crankseam.jobs.item_seconds import ExpectedWork
 from crankseam.jobs.model import ItemResult, JobDefinition, PartialText
 
 ROOT = "crankseam/"
@@ -48,6 +50,9 @@
 MAX_VALUE_BYTES = 600 * 1024
 """Size limit of a stored value: its base64 encoding must fit the store's value size."""
 
+UNKNOWN_WORK = ExpectedWork()
+"""Expected work of a job whose model has no estimate."""
+
 
 class JobHead(msgspec.Struct, frozen=True):
     """The value of a job's head key."""
@@ -104,12 +109,21 @@
         self._store = store
         self.process = process
 
-    async def create(self, job: JobDefinition, lease: int, item_s: float = 0.0) -> bool:
+    async def create(
+        self,
+        job: JobDefinition,
+        lease: int,
+        item_s: float = 0.0,
+        work: ExpectedWork = UNKNOWN_WORK,
+        due_s: float = math.inf,
+    ) -> bool:
         """Accept a job; returns False if it was accepted before.
 
         Args:
             lease: lease under which this process becomes the owner; 0 for no owner.
             item_s: see OpenJob.
+            work: expected work of the job.
+            due_s: seconds from now until the job's results are due; infinite if never.
 
         Raises:
             JobIdTaken: another tenant's job has this id.
@@ -124,7 +138,17 @@
             await self._store.commit(Transaction(puts=[put]))
         head = msgspec.msgpack.encode(JobHead(len(parts), self.process, job.tenant))
         opened = msgspec.msgpack.encode(
-            OpenJob(job.model, len(job.items), job.min_version, item_s, job.tenant)
+            OpenJob(
+                job.model,
+                len(job.items),
+                job.min_version,
+                item_s,
+                job.tenant,
+                job.priority,
+                work.total_s,
+                work.longest_item_s,
+                due_s if math.isfinite(due_s) else 0.0,
+            )
         )
         final = [puts[0], Put(prefix + "head", head), Put(OPEN_PREFIX + job.id, opened)]
         if lease:
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -79,7 +79,12 @@
             self._repository, self.lease, self.running, supervisor, process, self.state
         )
         self._acceptance = JobAcceptance(
-            self._repository, self.lease, self.running, self.claims, maker.item_seconds
+            self._repository,
+            self.lease,
+            self.running,
+            self.claims,
+            maker.item_seconds,
+            maker.due_s,
         )
         self.tenants = JobTenants(self._repository, self.running, self.state)
         self.lease.on_new.append(self.claims.lease_replaced)
--- a/tests/jobs/test_demand.py
+++ b/tests/jobs/test_demand.py
@@ -1,5 +1,10 @@
+import msgspec
+import pytest
+
 from crankseam.jobs import demand as module
 from crankseam.jobs.demand import PEAK_RETENTION_S, ModelDemand, OpenJob, decode_open_job
+from crankseam.jobs.due_work import NEED_RETENTION_S, UNKNOWN_DUE_S
+from crankseam.orders.demand import ModelWork
 from tests.support.clock import FakeClock
 
 
@@ -40,3 +45,70 @@
     demand.ended("j1")
     demand.opened("j3", OpenJob("m", 10))
     assert demand.required_slot_seconds("m") == 30.0, "the peak was twenty open items"
+
+
+class OpenJobOfEarlierBuild(msgspec.Struct, frozen=True):
+    """The stored value as the build before defined it."""
+
+    model: str = ""
+    items: int = 0
+    min_version: int = 0
+    item_s: float = 0.0
+    tenant: str = ""
+
+
+def test_a_value_of_the_build_before_is_decoded():
+    """Guards against values lost in a rolling update, where processes of both builds run."""
+    stored = msgspec.msgpack.encode(OpenJobOfEarlierBuild("m", 10, 3, 1.5, "t"))
+    job = decode_open_job(stored)
+    assert job == OpenJob("m", 10, 3, 1.5, "t")
+    assert job.expected_work_s() == 15.0 and job.tightness() == 0.0
+
+
+def test_the_build_before_decodes_the_new_value():
+    """Guards against values lost in a rolling update, where processes of both builds run."""
+    stored = msgspec.msgpack.encode(OpenJob("m", 10, 3, 1.5, "t", 0, 18.0, 4.0, 7.5))
+    expected = OpenJobOfEarlierBuild("m", 10, 3, 1.5, "t")
+    assert msgspec.msgpack.decode(stored, type=OpenJobOfEarlierBuild) == expected
+
+
+def test_due_work_is_told_by_priority_with_the_time_left(monkeypatch):
+    clock = FakeClock()
+    monkeypatch.setattr(module, "time", clock)
+    demand = ModelDemand()
+    assert demand.due_work("m") == ModelWork()
+    demand.opened("j1", OpenJob("m", 10, priority=0, work_s=80.0, longest_item_s=4.0, due_s=8.0))
+    clock.now = 2.0
+    demand.opened("j1", OpenJob("m", 10, priority=0, work_s=80.0, longest_item_s=4.0, due_s=8.0))
+    demand.opened("j2", OpenJob("m", 10, priority=1, work_s=40.0, due_s=8.0))
+    work = demand.due_work("m")
+    assert [due.priority for due in work.due] == [0, 1] and work.tightness == 0.5
+    assert work.needed_slots == pytest.approx(15.0)
+    clock.now = 7.0
+    late = demand.due_work("m").due[0]
+    assert late.left_s == 1.0 and late.needed_slots == pytest.approx(20.0), "known since 0"
+
+
+def test_due_work_is_kept_between_steps_and_an_idle_model_has_none(monkeypatch):
+    clock = FakeClock()
+    monkeypatch.setattr(module, "time", clock)
+    demand = ModelDemand()
+    demand.opened("j1", OpenJob("m", 10, work_s=80.0, due_s=8.0))
+    clock.now = 3.0
+    demand.ended("j1")
+    clock.now += NEED_RETENTION_S
+    assert demand.due_work("m").needed_slots == pytest.approx(10.0)
+    clock.now += 0.1
+    assert demand.due_work("m").due == ()
+
+
+def test_due_work_of_jobs_without_estimate_is_that_of_earlier_items_or_unknown():
+    """The owner of a model's jobs is new, or of the build before, and states no work."""
+    demand = ModelDemand()
+    demand.opened("j1", OpenJob("m", 10, due_s=10.0))
+    assert demand.due_work("m") is None and demand.due_work("other") == ModelWork()
+    demand.opened("j2", OpenJob("m", 10, item_s=1.5))
+    demand.ended("j1")
+    demand.opened("j3", OpenJob("m", 20, due_s=10.0))
+    needed = 10 * 1.5 / UNKNOWN_DUE_S + 20 * 1.5 / 10.0
+    assert demand.due_work("m").needed_slots == pytest.approx(needed, rel=0.01)
--- a/tests/jobs/test_item_seconds.py
+++ b/tests/jobs/test_item_seconds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crankseam.jobs.item_seconds import MIN_ITEMS, ItemSeconds
+from crankseam.jobs.item_seconds import MIN_ITEMS, ExpectedWork, ItemSeconds
 from crankseam.jobs.model import ItemDefinition, JobDefinition
 
 
@@ -52,3 +52,13 @@
         )
     expected = 0.02 * (20 + 40 + 200) / 3
     assert item_seconds.mean_s(job([20, 40, 200])) == pytest.approx(expected, rel=0.1)
+
+
+def test_the_work_of_a_job_is_that_of_all_its_hints_and_its_longest_item_stands_out():
+    item_seconds = ItemSeconds()
+    assert item_seconds.expected_work(job([10])) == ExpectedWork()
+    for number in range(20):
+        item_seconds.ended("m", item(number, hint=10), 0.4)
+    work = item_seconds.expected_work(job([10, 10, 100]))
+    assert work.total_s == pytest.approx(4.8) and work.longest_item_s == pytest.approx(4.0)
+    assert item_seconds.expected_work(job([])) == ExpectedWork()
--- a/tests/jobs/test_repository.py
+++ b/tests/jobs/test_repository.py
@@ -1,9 +1,14 @@
+import math
+
+import msgspec
 import pytest
 
 from crankseam.errors import KeyValueOutcomeUnknown
+from crankseam.jobs.demand import OpenJob, decode_open_job
 from crankseam.jobs.errors import ResultsConflict
+from crankseam.jobs.item_seconds import ExpectedWork
 from crankseam.jobs.model import ItemResult, PartialText
-from crankseam.jobs.repository import OWNER_PREFIX, JobRepository
+from crankseam.jobs.repository import OPEN_PREFIX, OWNER_PREFIX, JobRepository
 from crankseam_standins.memory_store import MemoryStore
 from tests.jobs.factories import make_job
 
@@ -24,6 +29,15 @@
     assert await first.load("other") is None
 
 
+@pytest.mark.parametrize(("due_s", "stored_due_s"), [(7.5, 7.5), (math.inf, 0.0)])
+async def test_every_process_learns_work_priority_and_due_time_of_a_job(due_s, stored_due_s):
+    store = MemoryStore()
+    job = msgspec.structs.replace(make_job(), priority=1, tenant="t")
+    await JobRepository(store, "a").create(job, 0, 1.5, ExpectedWork(4.5, 3.0), due_s)
+    opened = decode_open_job(store.entries[OPEN_PREFIX + job.id].value)
+    assert opened == OpenJob("m", 3, 0, 1.5, "t", 1, 4.5, 3.0, stored_due_s)
+
+
 async def test_a_job_larger_than_a_value_is_cut_and_joined(monkeypatch):
     monkeypatch.setattr("crankseam.jobs.repository.MAX_VALUE_BYTES", 50)
     store = MemoryStore()
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -5,8 +5,11 @@
 
 from crankseam.coordination.interface import Put, Transaction
 from crankseam.errors import KeyValueError, KeyValueUnavailable
+from crankseam.jobs.demand import decode_open_job
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import AcceptanceUnknown, JobUnknown
+from crankseam.jobs.item_seconds import MIN_ITEMS
+from crankseam.jobs.repository import OPEN_PREFIX
 from crankseam.jobs.service import JobService
 from crankseam.serving.supervisor import Supervisor
 from crankseam_standins.memory_store import MemoryStore
@@ -85,6 +88,18 @@
     assert (await other.jobs.item("j1", "j1-i1")).body == b"\x00\xff"
 
 
+async def test_a_job_is_accepted_with_its_expected_work_and_due_time(cluster):
+    store, _, start = cluster
+    owner = await start("a")
+    await owner.jobs.submit(make_job("j0", items=MIN_ITEMS), short_deadline())
+    await all_results(owner.jobs, "j0", MIN_ITEMS)
+    await owner.jobs.submit(make_job(), short_deadline())
+    opened = decode_open_job(store.entries[OPEN_PREFIX + "j1"].value)
+    assert opened.work_s == pytest.approx(3 * opened.item_s) and opened.work_s > 0.0
+    assert opened.longest_item_s == pytest.approx(opened.item_s), "no item has a hint"
+    assert opened.due_s == 0.0 and opened.priority == 5, "the route states no due time"
+
+
 async def test_a_killed_owners_job_is_resumed_by_another_process(cluster):
     store, samplers, start = cluster
     owner, other = await start("a"), await start("b")
