Shares of the capacity by urgent work, with a quota for each model

Symptom: urgent models wait as long as the others when not all work fits. Cause: shares follow work only; priority and time left play no part. Change: orders/urgent_shares.py, pure: needs are met by priority, each model keeps a quota, an idle model lends to one that lacks slots. Nothing uses it yet.

--- /dev/null
+++ b/src/crankseam/orders/urgent_shares.py
@@ -0,0 +1,162 @@
+"""Decides which share of a contended service's capacity each of its models gets.
+
+Inputs: the capacity of the service, as of now; for each model the work of its open jobs by
+priority and the time left for it, as recent peaks, from the keys of open jobs.
+Rule: the need of a model is its work divided by the time left for it. Each model first gets its
+quota; then the needs are served by priority, each up to the need; models of one priority that can't
+all be served get equal parts of what they lack. If all needs are met, the shares are in proportion
+to the needs, but not below the quota.
+A model without recent work keeps only its quota if the shares do not cover another's need, and gets
+its share back when its next job opens. Shares change only if one of them deviates from its new
+value by more than a threshold, and not while the work of a model is unknown. They are equal until
+the work of every model has been known.
+Purpose: a late or urgent model must not wait because a less urgent one has samplers to spare.
+Logged as: `capacity_shared`.
+Tested by: tests/orders/test_urgent_shares.py.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+
+from crankseam.orders.demand import ModelWork
+from crankseam.orders.shares import REBALANCE_THRESHOLD
+
+QUOTA_FRACTION = 0.5
+"""Fraction of an equal share that each model keeps, however urgent the others are. With half of it,
+a job takes at most twice as long as with an equal share, and the samplers that an idle model keeps
+can begin its next job while others load its version again."""
+
+
+class ShareReason(enum.Enum):
+    """Why the shares are as they are."""
+
+    UNKNOWN = "work unknown"
+    """The work of a model has not been known yet, so the shares are equal."""
+    FITS = "all needs are met"
+    SCARCE = "needs exceed the capacity"
+    """The more urgent priority was served first."""
+
+
+@dataclass(frozen=True, slots=True)
+class CapacityShares:
+    """Fraction of a service's capacity by model; empty for equal shares."""
+
+    shares: dict[str, float] = field(default_factory=dict)
+    reason: ShareReason = ShareReason.UNKNOWN
+
+
+def urgent_shares(works: dict[str, ModelWork], capacity: float) -> CapacityShares:
+    """Return the shares of the capacity; they add up to 1.
+
+    Parameters
+    ==========
+
+    works : recent work of each model of the service; at least one.
+    capacity : capacity of the service, in slots; positive.
+
+    Examples
+    ========
+
+    >>> from crankseam.orders.demand import DueWork
+    >>> urgent, rest = DueWork(0, 90.0, 1.0), DueWork(1, 90.0, 1.0)
+    >>> works = {"a": ModelWork((urgent,)), "b": ModelWork((rest,))}
+    >>> urgent_shares(works, 120.0).shares
+    {'a': 0.75, 'b': 0.25}
+    >>> urgent_shares(works, 200.0).shares
+    {'a': 0.5, 'b': 0.5}
+    """
+    quota = QUOTA_FRACTION * capacity / len(works)
+    granted = dict.fromkeys(works, quota)
+    remaining = capacity - quota * len(works)
+    lacking_by_priority = _lacking_by_priority(works, quota)
+    for priority in sorted(lacking_by_priority):
+        lacking = lacking_by_priority[priority]
+        total = sum(lacking.values())
+        if total > remaining:
+            _grant(granted, lacking, remaining / total)
+            return CapacityShares(_fractions(granted), ShareReason.SCARCE)
+        _grant(granted, lacking, 1.0)
+        remaining -= total
+    needs = {model: work.needed_slots for model, work in works.items()}
+    return CapacityShares(_fractions(_in_proportion(needs, quota, capacity)), ShareReason.FITS)
+
+
+def _lacking_by_priority(works: dict[str, ModelWork], quota: float) -> dict[int, dict[str, float]]:
+    """Return the slots that each model needs beyond its quota, by priority.
+
+    The quota of a model covers its most urgent work first.
+    """
+    lacking: dict[int, dict[str, float]] = {}
+    for model, work in works.items():
+        unused_quota = quota
+        for due in sorted(work.due, key=lambda due: due.priority):
+            covered = min(due.needed_slots, unused_quota)
+            unused_quota -= covered
+            lacking.setdefault(due.priority, {})[model] = due.needed_slots - covered
+    return lacking
+
+
+def _grant(granted: dict[str, float], slots: dict[str, float], fraction: float) -> None:
+    for model, count in slots.items():
+        granted[model] += count * fraction
+
+
+def _in_proportion(needs: dict[str, float], quota: float, capacity: float) -> dict[str, float]:
+    """Return the slots of each model in proportion to its need, but at least its quota."""
+    granted = dict.fromkeys(needs, quota)
+    proportional = {model: need for model, need in needs.items() if need > 0.0}
+    while proportional:
+        divided = capacity - quota * (len(needs) - len(proportional))
+        total = sum(proportional.values())
+        slots = {model: divided * (need / total) for model, need in proportional.items()}
+        if min(slots.values()) >= quota:
+            return granted | slots
+        proportional = {model: proportional[model] for model in slots if slots[model] >= quota}
+    return granted
+
+
+def _fractions(granted: dict[str, float]) -> dict[str, float]:
+    total = sum(granted.values())
+    return {model: slots / total for model, slots in granted.items()}
+
+
+class ServiceShares:
+    """Shares of the models of one contended service, changed only when they shift by enough."""
+
+    def __init__(self) -> None:
+        self.current = CapacityShares()
+
+    def update(self, works: dict[str, ModelWork | None], capacity: float) -> CapacityShares:
+        """Update the shares and return them.
+
+        Parameters
+        ==========
+
+        works : recent work of each model of the service; None where it is unknown.
+        capacity : capacity of the service, in slots.
+        """
+        known = {model: work for model, work in sorted(works.items()) if work is not None}
+        is_same_service = self.current.shares.keys() == works.keys()
+        if not known or len(known) < len(works) or capacity <= 0.0:
+            if not is_same_service:
+                self.current = CapacityShares()
+            return self.current
+        new = urgent_shares(known, capacity)
+        if not is_same_service or self._must_change(new.shares, known, capacity):
+            self.current = new
+        return self.current
+
+    def _must_change(
+        self, new_shares: dict[str, float], works: dict[str, ModelWork], capacity: float
+    ) -> bool:
+        """Whether the shares shift by enough; an idle model lends only if another lacks slots."""
+        shares = self.current.shares
+        needs = {model: work.needed_slots for model, work in works.items()}
+        is_covered = all(needs[model] <= shares[model] * capacity for model in needs)
+        if is_covered and not all(needs.values()):
+            return False
+        return any(
+            abs(share - shares[model]) > REBALANCE_THRESHOLD for model, share in new_shares.items()
+        )
