--- a/src/crankseam/orders/assignment.py
+++ b/src/crankseam/orders/assignment.py
@@ -6,7 +6,8 @@
 Rule: each model is assigned its share of the samplers, but not more than its items need with some
 reserve, and at least enough to use the loads that fit between two steps. Samplers that have the
 newest version loaded keep the model. The other places are distributed so that each sampler hosts
-few models and each model gets some of the fast samplers.
+few models and each model gets some of the fast samplers. Contended services have a rule of their
+own, see `capacity_assignment`.
 Purpose: a sampler cannot serve a model while it loads a version of it, and only few samplers may
 load at the same time, so a sampler that hosts fewer models serves more requests.
 Logged as: `version_ordered`, `samplers_shared`.
@@ -82,6 +83,11 @@
     return max(LOADS_PER_STEP, math.ceil(SLOTS_PER_OPEN_ITEM * open_items / slots))
 
 
+def healthy_samplers(samplers: list[BackEnd]) -> list[BackEnd]:
+    """Return the samplers that may be assigned models; see `UNHEALTHY_FAILURES`."""
+    return [back_end for back_end in samplers if back_end.failures < UNHEALTHY_FAILURES] or samplers
+
+
 def assign(
     samplers: list[BackEnd],
     models: dict[str, int],
@@ -104,9 +110,7 @@
         needs fewer samplers than its share is not loaded on the rest.
     shares : fraction of the samplers by model; by default all models get equal shares.
     """
-    healthy = [
-        back_end for back_end in samplers if back_end.failures < UNHEALTHY_FAILURES
-    ] or samplers
+    healthy = healthy_samplers(samplers)
     ranks = _rank(healthy, classes or {})
     model_counts = dict.fromkeys(ranks, 0)
     assigned: dict[str, list[BackEnd]] = {}
