Contended services are shared by capacity and urgent work

Change: the assigner uses capacity, urgent shares and assignment by capacity at services that Contention calls contended; all others as before.

--- a/src/crankseam/orders/version_coordinator.py
+++ b/src/crankseam/orders/version_coordinator.py
@@ -37,6 +37,7 @@
     VersionOrder,
 )
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.contention import Contention, NoContention
 from crankseam.serving.paces import SamplerPaces
 
 log = logging.getLogger(__name__)
@@ -76,6 +77,7 @@
         the given model.
     paces : paces of the samplers, if known.
     demand : what the open jobs of each model need, if known.
+    contention : tells which services are contended; see Assigner.
 
     Attributes
     ==========
@@ -92,6 +94,7 @@
         running_requests: Callable[[str], RunningRequests],
         paces: SamplerPaces | None = None,
         demand: Demand | None = None,
+        contention: Contention | NoContention | None = None,
     ) -> None:
         self._registry = registry
         self._control = control
@@ -100,7 +103,7 @@
         self._running_requests = running_requests
         self._demand = demand if demand is not None else UnknownDemand()
         self._paces = paces if paces is not None else SamplerPaces()
-        self._assigner = Assigner(registry, self._paces, self._demand)
+        self._assigner = Assigner(registry, self._paces, self._demand, contention)
         self._newest: dict[str, AnnouncedVersion] = {}
         """Newest announced version by model."""
         self._in_progress: dict[str, _LoadInProgress] = {}
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -330,6 +330,12 @@
         "The samplers of a service were redistributed among its models by the work of their items.",
         ("service", "shares"),
     ),
+    "capacity_shared": LogEvent(
+        "The capacity of a contended service was redistributed among its models: `reason` tells"
+        " whether `needed_slots`, by model, fit into `capacity`, in slots of a sampler of median"
+        " pace; `priorities` are those of the recent jobs of each model.",
+        ("service", "reason", "shares", "capacity", "needed_slots", "priorities"),
+    ),
     "version_loaded": LogEvent(
         "A sampler reports that it has loaded the version.", ("back_end", "model", "version")
     ),
