Jobs of the build before have the urgency of their model's other jobs

Symptom: in a rolling update, an urgent job that a process of the build before accepted would count as the least urgent. Cause: the missing priority was read as the default of a job. Change: OpenJob.priority is None if unknown; the priority and due time of the model's newest job that states them count.

--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -18,6 +18,8 @@
 PEAK_RETENTION_S = 30.0
 """Seconds for which a peak counts. A training step comes every few seconds, and no item is open
 between two steps, so the current number alone would drop to zero."""
+UNKNOWN_PRIORITY = 5
+"""Priority of a job whose priority no process has stated: that of a route without one."""
 
 
 class OpenJob(msgspec.Struct, frozen=True):
@@ -31,7 +33,7 @@
     items : number of the job's items.
     min_version : oldest weight version that may generate the job's tokens.
     item_s : expected seconds for which an item occupies a sampler slot; 0 if unknown.
-    priority : the job's priority; 0 is the most urgent.
+    priority : the job's priority; 0 is the most urgent, None if unknown.
     work_s : expected seconds for which all items occupy sampler slots, by their hints; 0 if
         unknown.
     longest_item_s : expected seconds for which the longest item occupies a slot; 0 if unknown.
@@ -43,7 +45,7 @@
     min_version: int = 0
     item_s: float = 0.0
     tenant: str = ""
-    priority: int = 5
+    priority: int | None = None
     work_s: float = 0.0
     longest_item_s: float = 0.0
     due_s: float = 0.0
@@ -77,6 +79,8 @@
         self._min_usable_versions: dict[str, int] = {}
         self._item_s: dict[str, float] = {}
         """Expected seconds per item from the newest job that states them, by model."""
+        self._ranked: dict[str, OpenJob] = {}
+        """Newest job that states its priority, by model."""
         self._tightness: dict[str, float] = {}
         """Tightness of the newest job that states it, by model."""
         self._recent_needs: dict[str, RecentNeeds] = {}
@@ -90,6 +94,8 @@
         )
         if job.item_s > 0.0:
             self._item_s[job.model] = job.item_s
+        if job.priority is not None:
+            self._ranked[job.model] = job
         if job.tightness() > 0.0:
             self._tightness[job.model] = job.tightness()
         self._update_peak(job.model)
@@ -137,12 +143,22 @@
             work_s = job.expected_work_s() or job.items * self._item_s.get(model, 0.0)
             if work_s <= 0.0:
                 return None
-            work = due_work(job.priority, work_s, job.due_s, now - self._seen_at[job_id])
+            work = self._due_work_of(job, work_s, now - self._seen_at[job_id])
             if work is not None:
                 works.append(work)
         needs = self._recent_needs.setdefault(model, RecentNeeds())
         return ModelWork(needs.update(works, now), self._tightness.get(model, 0.0))
 
+    def _due_work_of(self, job: OpenJob, work_s: float, elapsed_s: float) -> DueWork | None:
+        """Return the remaining work of an open job.
+
+        A job of an earlier build states neither priority nor due time; it gets those of the model's
+        newest job that does.
+        """
+        ranked = job if job.priority is not None else self._ranked.get(job.model, job)
+        priority = ranked.priority if ranked.priority is not None else UNKNOWN_PRIORITY
+        return due_work(priority, work_s, ranked.due_s, elapsed_s)
+
     def min_usable_version(self, model: str) -> int | None:
         """Highest `min_version` among the jobs seen of a model; None if no job was seen."""
         return self._min_usable_versions.get(model)
--- a/tests/jobs/test_demand.py
+++ b/tests/jobs/test_demand.py
@@ -2,7 +2,13 @@
 import pytest
 
 from crankseam.jobs import demand as module
-from crankseam.jobs.demand import PEAK_RETENTION_S, ModelDemand, OpenJob, decode_open_job
+from crankseam.jobs.demand import (
+    PEAK_RETENTION_S,
+    UNKNOWN_PRIORITY,
+    ModelDemand,
+    OpenJob,
+    decode_open_job,
+)
 from crankseam.jobs.due_work import NEED_RETENTION_S, UNKNOWN_DUE_S
 from crankseam.orders.demand import ModelWork
 from tests.support.clock import FakeClock
@@ -112,3 +118,13 @@
     demand.opened("j3", OpenJob("m", 20, due_s=10.0))
     needed = 10 * 1.5 / UNKNOWN_DUE_S + 20 * 1.5 / 10.0
     assert demand.due_work("m").needed_slots == pytest.approx(needed, rel=0.01)
+
+
+def test_a_job_of_the_build_before_has_the_urgency_of_the_models_other_jobs():
+    """In a rolling update, a job of an earlier build would pass for the least urgent one."""
+    demand = ModelDemand()
+    demand.opened("j1", OpenJob("m", 10, item_s=1.0))
+    assert [due.priority for due in demand.due_work("m").due] == [UNKNOWN_PRIORITY]
+    demand.opened("j2", OpenJob("m", 10, item_s=1.0, priority=0, work_s=10.0, due_s=5.0))
+    urgent = demand.due_work("m").due[0]
+    assert urgent.priority == 0 and urgent.needed_slots == pytest.approx(4.0, rel=0.01)
