Needs are compared with the number of slots

Symptom: needs seem to exceed the capacity while they fit. Cause: needs are seconds measured on samplers of all paces, and were compared with a capacity in slots of a sampler of median pace, which slow ones lower. Change: the service's capacity for shares is its number of slots; capacities by pace divide it among the samplers.

--- a/src/crankseam/orders/assigner.py
+++ b/src/crankseam/orders/assigner.py
@@ -13,7 +13,7 @@
 from dataclasses import dataclass, field
 
 from crankseam.orders.assignment import assign
-from crankseam.orders.capacity import capacities_of, relative_paces
+from crankseam.orders.capacity import capacities_of, relative_paces, total_slots
 from crankseam.orders.capacity_assignment import ModelPart, assign_capacity
 from crankseam.orders.demand import Demand, ModelWork
 from crankseam.orders.shares import ModelShares
@@ -162,7 +162,7 @@
         kept.relative_paces = self._relative_paces(back_ends, kept.relative_paces)
         capacities = capacities_of(back_ends, kept.relative_paces)
         works = {model: self._demand.due_work(model) for model in models}
-        shares = self._capacity_shares(service, kept.shares, works, sum(capacities.values()))
+        shares = self._capacity_shares(service, kept.shares, works, total_slots(back_ends))
         parts = {
             model: ModelPart(
                 shares.get(model, 1.0 / len(models)),
@@ -188,17 +188,17 @@
 
     @staticmethod
     def _capacity_shares(
-        service: str, shares: ServiceShares, works: dict[str, ModelWork | None], capacity: float
+        service: str, shares: ServiceShares, works: dict[str, ModelWork | None], slots: int
     ) -> dict[str, float]:
         previous = shares.current
-        current = shares.update(works, capacity)
+        current = shares.update(works, slots)
         if current.shares != previous.shares:
-            _log_shares(service, current, works, capacity)
+            _log_shares(service, current, works, slots)
         return current.shares
 
 
 def _log_shares(
-    service: str, current: CapacityShares, works: dict[str, ModelWork | None], capacity: float
+    service: str, current: CapacityShares, works: dict[str, ModelWork | None], slots: int
 ) -> None:
     known = {model: work for model, work in works.items() if work is not None}
     log.info(
@@ -207,7 +207,7 @@
             "service": service,
             "reason": current.reason.value,
             "shares": {model: round(share, 2) for model, share in current.shares.items()},
-            "capacity": round(capacity, 1),
+            "capacity": slots,
             "needed_slots": {model: round(work.needed_slots, 1) for model, work in known.items()},
             "priorities": {
                 model: [due.priority for due in one.due] for model, one in known.items()
--- a/src/crankseam/orders/capacity.py
+++ b/src/crankseam/orders/capacity.py
@@ -5,7 +5,8 @@
 Rule: the capacity of a sampler is its number of slots divided by its relative pace, which is its
 pace divided by the median pace of the service. A sampler whose pace has never been known counts as
 a median one. A relative pace is kept until it deviates by more than a tolerance, and while the pace
-is unknown.
+is unknown. The needs of models are measured on samplers of all paces, so they are compared with
+the number of slots of the service.
 Purpose: a sampler that takes twice as long serves half as many items, so counting samplers gives
 too little to the model that has the slow ones. Small changes of pace must not move a sampler.
 Logged as: `capacity` of `capacity_shared`.
@@ -27,6 +28,16 @@
 """Relative pace of a sampler whose pace is unknown."""
 
 
+def slots_of(sampler: BackEnd) -> int:
+    """Return the number of slots of a sampler, or a default if it reports none."""
+    return sampler.record.slots or DEFAULT_SLOTS
+
+
+def total_slots(samplers: Iterable[BackEnd]) -> int:
+    """Return the number of slots of a service."""
+    return sum(slots_of(sampler) for sampler in samplers)
+
+
 def relative_paces(paces_s: dict[str, float], previous: dict[str, float]) -> dict[str, float]:
     """Return the paces of a service's samplers relative to their median.
 
--- a/src/crankseam/orders/capacity_assignment.py
+++ b/src/crankseam/orders/capacity_assignment.py
@@ -24,12 +24,8 @@
 from collections.abc import Iterable
 from dataclasses import dataclass, field
 
-from crankseam.orders.assignment import (
-    DEFAULT_SLOTS,
-    LOADS_PER_STEP,
-    SLOTS_PER_OPEN_ITEM,
-    healthy_samplers,
-)
+from crankseam.orders.assignment import LOADS_PER_STEP, SLOTS_PER_OPEN_ITEM, healthy_samplers
+from crankseam.orders.capacity import slots_of
 from crankseam.serving.back_ends import BackEnd
 
 ROUNDING_FRACTION = 0.5
@@ -154,7 +150,7 @@
         self._lags = {model: self._lags_of(model) for model in self._models}
         self._hosted = self._hosted_models()
         total = sum(capacities[key] for key in self._model_counts)
-        slots = statistics.median(sampler.record.slots or DEFAULT_SLOTS for sampler in samplers)
+        slots = statistics.median(slots_of(sampler) for sampler in samplers)
         self._assigned = {
             model: self._nothing_assigned(parts[model], total, slots) for model in self._models
         }
@@ -164,8 +160,8 @@
 
     def _speed_rank(self, sampler: BackEnd) -> tuple[float, str]:
         """Sort key of samplers; the one with the shortest time for an item comes first."""
-        slots = sampler.record.slots or DEFAULT_SLOTS
-        return -self._capacities[sampler.record.id] / slots, sampler.record.id
+        speed = self._capacities[sampler.record.id] / slots_of(sampler)
+        return -speed, sampler.record.id
 
     def _lags_of(self, model: str) -> dict[str, int]:
         """By how many versions of a model each sampler is behind the newest one loaded anywhere."""
--- a/src/crankseam/orders/urgent_shares.py
+++ b/src/crankseam/orders/urgent_shares.py
@@ -1,6 +1,6 @@
 """Decides which share of a contended service's capacity each of its models gets.
 
-Inputs: the capacity of the service, as of now; for each model the work of its open jobs by
+Inputs: the number of slots of the service, as of now; for each model the work of its open jobs by
 priority and the time left for it, as recent peaks, from the keys of open jobs.
 Rule: the need of a model is its work divided by the time left for it. Each model first gets its
 quota; then the needs are served by priority, each up to the need; models of one priority that can't
@@ -54,7 +54,7 @@
     ==========
 
     works : recent work of each model of the service; at least one.
-    capacity : capacity of the service, in slots; positive.
+    capacity : number of slots of the service; positive.
 
     Examples
     ========
@@ -135,7 +135,7 @@
         ==========
 
         works : recent work of each model of the service; None where it is unknown.
-        capacity : capacity of the service, in slots.
+        capacity : number of slots of the service.
         """
         known = {model: work for model, work in sorted(works.items()) if work is not None}
         is_same_service = self.current.shares.keys() == works.keys()
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -332,8 +332,8 @@
     ),
     "capacity_shared": LogEvent(
         "The capacity of a contended service was redistributed among its models: `reason` tells"
-        " whether `needed_slots`, by model, fit into `capacity`, in slots of a sampler of median"
-        " pace; `priorities` are those of the recent jobs of each model.",
+        " whether `needed_slots`, by model, fit into `capacity`, the number of slots; `priorities`"
+        " are those of the recent jobs of each model.",
         ("service", "reason", "shares", "capacity", "needed_slots", "priorities"),
     ),
     "version_loaded": LogEvent(
