Quota in proportion to the need; a job near its due time lacks its last groups

Cause: needs of late jobs were estimated at up to 1.9 times the need on schedule, and the quota, half of an equal share, was a small part of what the less urgent kind needs. Change: the quota is half of the share that the rule without priorities gives; an open job is assumed to lack 0.15 of its work at least, not 0.25. Tests of the quota are written to the new rule.

--- a/src/crankseam/jobs/due_work.py
+++ b/src/crankseam/jobs/due_work.py
@@ -19,9 +19,9 @@
 
 from crankseam.orders.demand import DueWork
 
-MIN_OPEN_WORK_FRACTION = 0.25
-"""Fraction of its work that a job is assumed to have left while it is open. A job that nears its
-due time on schedule is ended by its trainer, so one that stays open is behind."""
+MIN_OPEN_WORK_FRACTION = 0.15
+"""Fraction of its work that a job is assumed to have left while it is open. Trainers end a job when
+most of its groups are whole, so what keeps it open near its due time are the last groups."""
 MIN_LEFT_S = 1.0
 """Shortest time left, in seconds: a load takes about as long, so that a sampler that is assigned to
 a model can't help it sooner."""
@@ -53,7 +53,7 @@
     >>> due_work(0, 80.0, 8.0, 4.0)
     DueWork(priority=0, work_s=40.0, left_s=4.0)
     >>> due_work(0, 80.0, 8.0, 7.5)
-    DueWork(priority=0, work_s=20.0, left_s=1.0)
+    DueWork(priority=0, work_s=12.0, left_s=1.0)
     """
     due_s = due_s or UNKNOWN_DUE_S
     left_s = due_s - elapsed_s
--- a/src/crankseam/orders/capacity.py
+++ b/src/crankseam/orders/capacity.py
@@ -9,7 +9,7 @@
 the number of slots of the service.
 Purpose: a sampler that takes twice as long serves half as many items, so counting samplers gives
 too little to the model that has the slow ones. Small changes of pace must not move a sampler.
-Logged as: `capacity` of `capacity_shared`.
+Logged as: `capacity_shared`.
 Tested by: tests/orders/test_capacity.py.
 """
 
--- a/src/crankseam/orders/urgent_shares.py
+++ b/src/crankseam/orders/urgent_shares.py
@@ -3,9 +3,10 @@
 Inputs: the number of slots of the service, as of now; for each model the work of its open jobs by
 priority and the time left for it, as recent peaks, from the keys of open jobs.
 Rule: the need of a model is its work divided by the time left for it. Each model first gets its
-quota; then the needs are served by priority, each up to the need; models of one priority that can't
-all be served get equal parts of what they lack. If all needs are met, the shares are in proportion
-to the needs, but not below the quota.
+quota, a fraction of what the rule of `shares.py`, without priorities, would give it. Then the needs
+are served by priority, each up to the need; models of one priority that can't all be served get
+equal parts of what they lack. If all needs are met, the shares are in proportion to the needs, but
+not below the quota.
 A model without recent work keeps only its quota if the shares do not cover another's need, and gets
 its share back when its next job opens. Shares change only if one of them deviates from its new
 value by more than a threshold, and not while the work of a model is unknown. They are equal until
@@ -21,12 +22,12 @@
 from dataclasses import dataclass, field
 
 from crankseam.orders.demand import ModelWork
-from crankseam.orders.shares import REBALANCE_THRESHOLD
+from crankseam.orders.shares import REBALANCE_THRESHOLD, shares_by_work
 
 QUOTA_FRACTION = 0.5
-"""Fraction of an equal share that each model keeps, however urgent the others are. With half of it,
-a job takes at most twice as long as with an equal share, and the samplers that an idle model keeps
-can begin its next job while others load its version again."""
+"""Fraction of its share without priorities that each model keeps, however urgent the others are. A
+job then takes at most twice as long as among equals, and needs that are estimated too high do not
+starve anybody. An idle model keeps samplers that can begin its next job while others load."""
 
 
 class ShareReason(enum.Enum):
@@ -62,15 +63,15 @@
     >>> from crankseam.orders.demand import DueWork
     >>> urgent, rest = DueWork(0, 90.0, 1.0), DueWork(1, 90.0, 1.0)
     >>> works = {"a": ModelWork((urgent,)), "b": ModelWork((rest,))}
-    >>> urgent_shares(works, 120.0).shares
+    >>> urgent_shares(works, 100.0).shares
     {'a': 0.75, 'b': 0.25}
     >>> urgent_shares(works, 200.0).shares
     {'a': 0.5, 'b': 0.5}
     """
-    quota = QUOTA_FRACTION * capacity / len(works)
-    granted = dict.fromkeys(works, quota)
-    remaining = capacity - quota * len(works)
-    lacking_by_priority = _lacking_by_priority(works, quota)
+    quotas = _quotas(works, capacity)
+    granted = dict(quotas)
+    remaining = capacity - sum(quotas.values())
+    lacking_by_priority = _lacking_by_priority(works, quotas)
     for priority in sorted(lacking_by_priority):
         lacking = lacking_by_priority[priority]
         total = sum(lacking.values())
@@ -79,18 +80,35 @@
             return CapacityShares(_fractions(granted), ShareReason.SCARCE)
         _grant(granted, lacking, 1.0)
         remaining -= total
-    needs = {model: work.needed_slots for model, work in works.items()}
-    return CapacityShares(_fractions(_in_proportion(needs, quota, capacity)), ShareReason.FITS)
+    return CapacityShares(
+        _fractions(_in_proportion(_needs(works), quotas, capacity)), ShareReason.FITS
+    )
 
 
-def _lacking_by_priority(works: dict[str, ModelWork], quota: float) -> dict[int, dict[str, float]]:
+def _needs(works: dict[str, ModelWork]) -> dict[str, float]:
+    return {model: work.needed_slots for model, work in works.items()}
+
+
+def _quotas(works: dict[str, ModelWork], capacity: float) -> dict[str, float]:
+    """Return the slots that each model keeps, however urgent the others are."""
+    needs = _needs(works)
+    if not any(needs.values()):
+        return dict.fromkeys(works, QUOTA_FRACTION * capacity / len(works))
+    return {
+        model: QUOTA_FRACTION * capacity * share for model, share in shares_by_work(needs).items()
+    }
+
+
+def _lacking_by_priority(
+    works: dict[str, ModelWork], quotas: dict[str, float]
+) -> dict[int, dict[str, float]]:
     """Return the slots that each model needs beyond its quota, by priority.
 
     The quota of a model covers its most urgent work first.
     """
     lacking: dict[int, dict[str, float]] = {}
     for model, work in works.items():
-        unused_quota = quota
+        unused_quota = quotas[model]
         for due in sorted(work.due, key=lambda due: due.priority):
             covered = min(due.needed_slots, unused_quota)
             unused_quota -= covered
@@ -103,17 +121,23 @@
         granted[model] += count * fraction
 
 
-def _in_proportion(needs: dict[str, float], quota: float, capacity: float) -> dict[str, float]:
+def _in_proportion(
+    needs: dict[str, float], quotas: dict[str, float], capacity: float
+) -> dict[str, float]:
     """Return the slots of each model in proportion to its need, but at least its quota."""
-    granted = dict.fromkeys(needs, quota)
+    granted = dict(quotas)
     proportional = {model: need for model, need in needs.items() if need > 0.0}
     while proportional:
-        divided = capacity - quota * (len(needs) - len(proportional))
+        others = sum(quota for model, quota in quotas.items() if model not in proportional)
         total = sum(proportional.values())
-        slots = {model: divided * (need / total) for model, need in proportional.items()}
-        if min(slots.values()) >= quota:
+        slots = {
+            model: (capacity - others) * (need / total) for model, need in proportional.items()
+        }
+        if all(slots[model] >= quotas[model] for model in slots):
             return granted | slots
-        proportional = {model: proportional[model] for model in slots if slots[model] >= quota}
+        proportional = {
+            model: proportional[model] for model in slots if slots[model] >= quotas[model]
+        }
     return granted
 
 
@@ -153,7 +177,7 @@
     ) -> bool:
         """Whether the shares shift by enough; an idle model lends only if another lacks slots."""
         shares = self.current.shares
-        needs = {model: work.needed_slots for model, work in works.items()}
+        needs = _needs(works)
         is_covered = all(needs[model] <= shares[model] * capacity for model in needs)
         if is_covered and not all(needs.values()):
             return False
