--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import time
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -18,6 +19,8 @@
 
 log = logging.getLogger(__name__)
 
+DEFAULT_SLOTS = 8
+"""Number of slots of a back end for which discovery lists none."""
 LOAD_REPORT_MAX_AGE_S = 1.5
 """Seconds after which a reported load is ignored as stale."""
 AVOID_BASE_S = 0.4
@@ -27,6 +30,9 @@
 REJECTED_AVOID_S = 0.05
 """Seconds for which a back end is avoided after it rejected a request. The time is short since a
 slot becomes free soon."""
+AVERAGE_SLOWDOWN_WINDOW_S = 3.0
+"""Smoothing window, in seconds, of the average slowdown. It is in time rather than in reports,
+since those of concurrent requests arrive together."""
 ENDED_AVOID_S = 5.0
 """Seconds for which a back end is avoided after it was found to have ended. Discovery removes a
 silent back end after about three heartbeats; a back end that was considered ended by mistake is
@@ -63,6 +69,9 @@
     """Running and waiting requests of all processes, according to the last load report."""
     slowdown: float | None = None
     """Slowdown of the last load report; None if the back end does not report it."""
+    average_slowdown: float | None = None
+    """Average of the reported slowdowns over `AVERAGE_SLOWDOWN_WINDOW_S`; None while none was
+    reported."""
     in_flight_at_report: int = 0
     """Value of `in_flight` when the last load report arrived."""
     reported_at: float = float("-inf")
@@ -112,10 +121,20 @@
 
     def report_load(self, report: LoadReport) -> None:
         """Store a load report that the back end sent."""
+        now = time.monotonic()
+        self._update_slowdown(report.slowdown, now)
         self.reported_load = report.requests
-        self.slowdown = report.slowdown
         self.in_flight_at_report = self.in_flight
-        self.reported_at = time.monotonic()
+        self.reported_at = now
+
+    def _update_slowdown(self, slowdown: float | None, now: float) -> None:
+        self.slowdown = slowdown
+        if slowdown is None or self.average_slowdown is None:
+            self.average_slowdown = slowdown
+            return
+        elapsed_s = max(0.0, now - self.reported_at)
+        weight = 1.0 - math.exp(-elapsed_s / AVERAGE_SLOWDOWN_WINDOW_S)
+        self.average_slowdown += weight * (slowdown - self.average_slowdown)
 
     def version_of(self, model: str) -> int:
         """Return the newest weight version of a model that the back end is known to have loaded.
@@ -152,6 +171,11 @@
         self.avoid_until = max(self.avoid_until, time.monotonic() + pause_s)
 
 
+def slots_of(back_end: BackEnd) -> int:
+    """Number of requests that a back end processes concurrently."""
+    return back_end.record.slots or DEFAULT_SLOTS
+
+
 class BackEndRegistry:
     """All back ends that discovery reports, by id; ids are never reused.
 
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -117,6 +117,17 @@
         " line. Its load is estimated from the requests of this process alone.",
         ("back_end", "value", "count"),
     ),
+    "back_end_slow": LogEvent(
+        "By this process's own answers, a back end takes `ratio` times as long as the service's"
+        " others; it gets less. `age_s`: age of the latest of `observations`. Contended services"
+        " only.",
+        ("back_end", "service", "ratio", "observations", "age_s"),
+    ),
+    "back_end_normal": LogEvent(
+        "A back end that was slow is as fast as the service's others again, or its observations"
+        " are forgotten and it is tried again.",
+        ("back_end", "service", "ratio", "observations", "age_s"),
+    ),
     "back_end_out": LogEvent("A back end was removed from discovery.", ("back_end",)),
     "back_end_ended": LogEvent(
         "A back end ended unannounced; it had `running` requests of this process.",
