Requests of contended services go to the better of two back ends drawn at random

Symptom: processes with few requests each hold the same outdated reports and choose the same idle-looking back end. Cause: each took the least reported load per slot. Change: at contended services two of the usable ones with a free slot are drawn, and the earlier expected completion is taken, the own zone between about equals. Attempts are observed there. Elsewhere nothing changes.

--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -21,8 +21,10 @@
 from crankseam.quarantine.model import RequestIdentity
 from crankseam.quarantine.request_tracker import RequestTracker, Send
 from crankseam.serving import retry
+from crankseam.serving.attempt_observer import AttemptObserver, no_observer
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
+from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.messages import (
     Answer,
     AttemptBroken,
@@ -36,6 +38,9 @@
 
 log = logging.getLogger(__name__)
 
+MIN_ERROR_STATUS = 400
+"""Lowest HTTP status of an answer that may have come without the work of its route being done."""
+
 
 @dataclass(frozen=True)
 class _Forwarding:
@@ -63,6 +68,8 @@
 
     guard : holds back requests during which back ends terminated.
     zone : zone of this process; among equally loaded back ends, those in this zone are preferred.
+    estimates : time factors of the back ends of contended services.
+    observer : observes the attempts at contended services.
 
     Attributes
     ==========
@@ -77,7 +84,11 @@
         client: BackEndClient,
         guard: CrashGuard,
         zone: str,
+        estimates: CompletionEstimates | None = None,
+        observer: AttemptObserver | None = None,
     ) -> None:
+        self._estimates = estimates or no_estimates()
+        self._observer = observer or no_observer()
         self.on_started: list[Callable[[str, float], None]] = []
         self._registry = registry
         self._client = client
@@ -149,9 +160,10 @@
         now = clocks.monotonic_s()
         service = self._registry.of_service(forwarding.service)
         candidates = [back_end for back_end in service if self._registry.may_send(back_end, now)]
-        chosen = choose_back_end(candidates, self._zone, now, history.tried)
+        factors = self._estimates.time_factors(forwarding.service, candidates, now)
+        chosen = choose_back_end(candidates, self._zone, now, history.tried, time_factors=factors)
         if chosen is None and retry.may_reuse_back_ends(history):
-            chosen = choose_back_end(candidates, self._zone, now)
+            chosen = choose_back_end(candidates, self._zone, now, time_factors=factors)
         return chosen
 
     async def _attempt_hedged(
@@ -203,8 +215,12 @@
         back_end.occupy_slot()
         sent_at, may_have_run = clocks.boottime_s(), True
         try:
-            with forwarding.tracker.sending() as send:
+            with (
+                self._observer.caller_attempt(back_end, forwarding.route.name) as observed,
+                forwarding.tracker.sending() as send,
+            ):
                 answer = await self._send(forwarding, back_end, send)
+                observed.is_complete = _is_complete_success(answer)
         except AttemptNotRun as rejection:
             may_have_run = False
             history.record_rejected(back_end.record.id, rejection.reason)
@@ -281,6 +297,11 @@
             tracker.close()
 
 
+def _is_complete_success(answer: Answer | StreamingAnswer) -> bool:
+    """Whether an answer tells how long the back end takes for the work of its route."""
+    return isinstance(answer, Answer) and answer.status < MIN_ERROR_STATUS
+
+
 def _log_outcome(forwarding: _Forwarding, answer: Answer | StreamingAnswer | None) -> None:
     request, history, tracker = forwarding.request, forwarding.history, forwarding.tracker
     log.info(
