Items and scoring requests go where they are done soonest; the reserve for callers follows their need

Symptom: at contended services texts wait 2 to 3 s for their score while slots idle (docs/design/15-load.md), and slow app servers get as many scoring requests as others. Cause: Cost.load counts requests, whatever the speed; scoring requests fill half of the slots however few callers there are. Change: at contended services Cost.load is the expected completion, and the reserve is estimated from this process's own callers times the number of processes, with headroom, at least a slot of each back end and at most half. slots_of moves to serving/back_ends.py.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -17,6 +17,7 @@
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
 from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.paces import SamplerPaces
 
 POLL_INTERVAL_S = 0.05
@@ -31,6 +32,7 @@
         zone: zone of this process; among otherwise equal samplers those in this zone are preferred.
         paces: observed paces of the samplers; a new, empty `SamplerPaces` if omitted.
         memory_of: returns the memory of each sampler of a service, None if unknown.
+        estimates: time factors of the back ends of contended services.
     """
 
     def __init__(
@@ -39,7 +41,9 @@
         zone: str,
         paces: SamplerPaces | None = None,
         memory_of: MemoryLookup = lambda service: None,
+        estimates: CompletionEstimates | None = None,
     ) -> None:
+        self._estimates = estimates or no_estimates()
         self._memory_of = memory_of
         self._registry = registry
         self._zone = zone
@@ -87,7 +91,9 @@
 
     def _assign_places(self) -> None:
         self._migrations.grant_all()
-        round_ = AssignmentRound(self._registry, self.paces, self._zone, self._memory_of)
+        round_ = AssignmentRound(
+            self._registry, self.paces, self._zone, self._memory_of, self._estimates
+        )
         unplaced: list[PlaceRequest] = []
         while self._waiting:
             request = heapq.heappop(self._waiting)
--- a/src/crankseam/jobs/migration_requests.py
+++ b/src/crankseam/jobs/migration_requests.py
@@ -12,8 +12,8 @@
 from dataclasses import dataclass
 
 from crankseam.jobs.migration import PACE_ORDER_MAX_AGE_S
-from crankseam.jobs.places import MemoryLookup, PlaceNeed, may_serve, slots_of
-from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.jobs.places import MemoryLookup, PlaceNeed, may_serve
+from crankseam.serving.back_ends import BackEnd, BackEndRegistry, slots_of
 from crankseam.serving.paces import SamplerPaces
 
 
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -2,16 +2,18 @@
 
 Inputs: the load of each sampler (requests of this process, and those of other processes by a load
 report that is at most 1.5 s old), its pace, weight version, zone and memory, all as known to this
-process at the time of the assignment round; the item's need.
+process at the time of the assignment round; at a contended service its time factor
+(`serving.expected_completion`); the item's need.
 Rule: a sampler is no candidate while it is avoided, while it has no free slot for this kind of
 item, while it is cold and this process has used up its share of requests there, or if its weight
 version is unsuitable. The candidates are ordered by `Cost`, compared field by field. The sampler
 where the item's previous attempt failed, or from which it was just migrated, is chosen only if
 there is no other candidate.
 Purpose: keeps the longest items of a step away from samplers that are slow, overloaded or about to
-load a weight version, and spreads all other items so that no sampler builds up a queue.
+load a weight version, and spreads all other items so that no sampler builds up a queue. At a
+contended service, items and scoring requests go where they are done soonest.
 Logged as: `item_sent`, `scoring_sent` (with the load in `reason` of `item_sent`).
-Tested by: tests/jobs/test_places.py, test_dispatcher.py.
+Tested by: tests/jobs/test_places.py, test_dispatcher.py, test_contended_places.py.
 """
 
 from __future__ import annotations
@@ -25,17 +27,19 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
-from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.back_ends import BackEnd, BackEndRegistry, slots_of
 from crankseam.serving.engine_memory import EMPTY_RUN, EngineMemory, RunSize
+from crankseam.serving.expected_completion import (
+    CompletionEstimates,
+    TimeFactors,
+    completion_at,
+    no_estimates,
+)
 from crankseam.serving.paces import SamplerPaces
 
-DEFAULT_SLOTS = 8
-"""Number of slots of a sampler for which discovery lists none."""
-
-
-def slots_of(back_end: BackEnd) -> int:
-    """Number of requests that a back end processes concurrently."""
-    return back_end.record.slots or DEFAULT_SLOTS
+COMPLETION_DECIMALS = 1
+"""Decimal places of an expected completion, in service times, by which samplers are compared.
+Without rounding, they would rarely be equal and the zone would never decide."""
 
 
 def may_serve(back_end: BackEnd, model: str, min_version: int, only_version: int) -> bool:
@@ -117,7 +121,8 @@
         the item is not long.
     versions_behind : number of weight versions by which the sampler is behind the newest one, in
         which case it will soon load that version; 0 if the item is not long.
-    load : expected number of requests at the sampler.
+    load : expected number of requests at the sampler; at a contended service the expected
+        completion of one more, in service times, which grows with their number.
     in_other_zone : whether the sampler is outside this process's zone.
     tie_break : random number, so that processes with the same knowledge do not all choose the same
         sampler.
@@ -168,6 +173,8 @@
     now : monotonic time of the round.
     may_send : whether this process may send one more request to a sampler now; limits requests to
         cold samplers.
+    time_factors : time factors of the samplers; None if the service is not contended. They are
+        fixed for the round, so that costs only grow during it.
     """
 
     slow: set[str]
@@ -177,6 +184,14 @@
     zone: str
     now: float
     may_send: Callable[[BackEnd, float], bool]
+    time_factors: TimeFactors | None
+
+    def cost_of_load(self, back_end: BackEnd) -> float:
+        """Return `Cost.load` of a sampler."""
+        if self.time_factors is None:
+            return back_end.expected_load(self.now)
+        time_factor = self.time_factors.get(back_end.record.id, 1.0)
+        return round(completion_at(back_end, time_factor, self.now), COMPLETION_DECIMALS)
 
 
 class _Queue:
@@ -208,7 +223,7 @@
             lacks_memory=self._lacks_memory(back_end),
             pace_class=view.classes.get(key, 0),
             versions_behind=view.versions_behind.get(key, 0),
-            load=back_end.expected_load(view.now),
+            load=view.cost_of_load(back_end),
             in_other_zone=back_end.record.zone != view.zone,
             tie_break=self._tie_breaks[key],
         )
@@ -255,6 +270,7 @@
     ==========
 
     zone : zone of this process; among otherwise equal samplers those in this zone are preferred.
+    estimates : time factors of the samplers of contended services.
     """
 
     def __init__(
@@ -263,7 +279,9 @@
         paces: SamplerPaces,
         zone: str,
         memory_of: MemoryLookup = lambda service: None,
+        estimates: CompletionEstimates | None = None,
     ) -> None:
+        self._estimates = estimates or no_estimates()
         self._memory_of = memory_of
         self._registry = registry
         self._paces = paces
@@ -271,6 +289,7 @@
         self._now = time.monotonic()
         self._queues: dict[_ItemKind, _Queue] = {}
         self._slow_ids: dict[str, set[str]] = {}
+        self._time_factors: dict[str, TimeFactors | None] = {}
 
     def assign(self, request: PlaceRequest) -> BackEnd | None:
         """The sampler for a request; None if no suitable one has room."""
@@ -294,6 +313,9 @@
         service = self._registry.of_service(request.service)
         if request.service not in self._slow_ids:
             self._slow_ids[request.service] = self._paces.slow_ids(service)
+            self._time_factors[request.service] = self._estimates.time_factors(
+                request.service, service, self._now
+            )
         candidates = [
             back_end
             for back_end in service
@@ -308,6 +330,7 @@
             self._zone,
             self._now,
             self._registry.may_send,
+            self._time_factors[request.service],
         )
         return _Queue(candidates, need, view)
 
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -29,11 +29,12 @@
 from crankseam.jobs.model import ItemDefinition, JobDefinition, ScoringRequest
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_places import RoutedPlaces
+from crankseam.jobs.scoring_reserve import ScoringReserve, fixed_reserve
 from crankseam.jobs.send_outcome import record_send_outcome
-from crankseam.jobs.urgency import SCORING_SLOTS_SHARE
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import DEFAULT_CRASH_LIMIT
 from crankseam.quarantine.model import RequestIdentity
+from crankseam.serving.attempt_observer import AttemptObserver, no_observer
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.messages import AttemptBroken, AttemptNotRun
 from crankseam.serving.routes import Route, TrafficSplitter
@@ -74,6 +75,8 @@
     find_route : returns the route of a scoring request in the newest configuration, None if there
         is none.
     guard : holds back scoring requests that are suspected of crashing back ends.
+    observer : observes the attempts at contended services.
+    reserve : tells which share of their slots contended services keep free for callers.
     """
 
     def __init__(
@@ -83,7 +86,11 @@
         find_route: ScoringRouteFinder,
         splitter: TrafficSplitter,
         guard: CrashGuard,
+        observer: AttemptObserver | None = None,
+        reserve: ScoringReserve | None = None,
     ) -> None:
+        self._observer = observer or no_observer()
+        self._reserve = reserve or fixed_reserve()
         self._places = RoutedPlaces(dispatcher, splitter)
         self._client = client
         self._guard = guard
@@ -106,7 +113,7 @@
         job_attempts : `max_attempts` of the job's route; the route of the scoring request may allow
             more.
         """
-        run = _ScoringRun(self._client, self._guard, job, item, request)
+        run = _ScoringRun(self._client, self._guard, self._observer, job, item, request)
         try:
             return await self._try_until_scored(run, request, rank, job_attempts)
         finally:
@@ -121,7 +128,8 @@
     ) -> str | None:
         while True:
             await run.tracker.wait_until_admitted()
-            need = PlaceNeed(rank, avoided=run.avoided, slots_share=SCORING_SLOTS_SHARE)
+            slots_share = self._reserve.slots_share(self._find_route(request))
+            need = PlaceNeed(rank, avoided=run.avoided, slots_share=slots_share)
             async with self._places.hold(partial(self._find_route, request), need) as place:
                 score = await run.attempt(place.route, place.back_end)
             if score is not None:
@@ -138,12 +146,14 @@
         self,
         client: ScoringClient,
         guard: CrashGuard,
+        observer: AttemptObserver,
         job: JobDefinition,
         item: ItemDefinition,
         request: ScoringRequest,
     ) -> None:
         self._client = client
         self._guard = guard
+        self._observer = observer
         self.tracker = guard.track(_request_identity(request), DEFAULT_CRASH_LIMIT)
         self._job = job
         self._item = item
@@ -162,10 +172,14 @@
         self._log("scoring_sent", back_end, f"patience {timeout_s:.2f} s")
         try:
             async with asyncio.timeout(timeout_s):
-                with self.tracker.sending() as send:
+                with (
+                    self._observer.attempt(back_end, route.name) as observed,
+                    self.tracker.sending() as send,
+                ):
                     deadline = clocks.boottime_s() + timeout_s
                     call = self._client.score(back_end, self._request, deadline)
                     score = await record_send_outcome(self._guard, send, back_end, call)
+                    observed.is_complete = True
         except AttemptNotRun as refusal:
             back_end.record_rejection(SCORING_REJECTED_BACKOFF_S)
             if refusal.wrong_instance:
