Service times: a duration is compared with the typical one when it is used, each back end counts alike

Symptom: the new tests of ratios failed: a slow back end that answered most requests was taken for usual (ratio 1.5 in place of 3), and back ends that became slow one after the other had different ratios. Cause: the typical duration was the median of the last answers of all back ends, and ratios were fixed when an answer came. Change: the typical duration takes the last four of each back end; ratios are formed when they are used. Own zone up to 15% apart, as the classes of pace are. Measured: tests/serving/test_service_times.py: 5 failed of 29 in the first form of both files, 53 of 53 pass now with the other new tests.

--- a/src/crankseam/serving/expected_completion.py
+++ b/src/crankseam/serving/expected_completion.py
@@ -48,7 +48,7 @@
 FACTOR_DECIMALS = 1
 """Decimal places of a time factor. Back ends that differ by less are equally fast, so that their
 load and zone decide."""
-ABOUT_EQUAL_FRACTION = 0.1
+ABOUT_EQUAL_FRACTION = 0.15
 """Relative difference up to which two expected completions are about equal, so that the zone
 decides."""
 
--- a/src/crankseam/serving/service_times.py
+++ b/src/crankseam/serving/service_times.py
@@ -3,8 +3,9 @@
 Inputs: the durations of this process's complete answers, forwarded requests and scoring requests,
 each at most OBSERVATION_MAX_AGE_S old; the slowdown that the back end reported meanwhile.
 Rule: a duration is divided by the back end's average slowdown, so that the two do not count twice,
-and by the typical duration of its kind of request (service and route), the median of the last ones.
-The ratio of a back end is the median of its last few observations and of PRIOR_OBSERVATIONS that
+and, when it is used, by the typical duration of its kind of request (service and route): the median
+of the last few of each back end, so that one that answers most requests does not set it alone. The
+ratio of a back end is the median of its last few observations and of PRIOR_OBSERVATIONS that
 say "usual", divided by the median ratio of the service's observed back ends: if all are equally
 slow, none is slower. An attempt that was cancelled or timed out counts as at least as long as it
 ran, and only if that is longer than usual. Errors and rejections do not count. A back end without
@@ -20,11 +21,12 @@
 
 from __future__ import annotations
 
+import itertools
 import logging
 import statistics
 import time
 from collections import OrderedDict, deque
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -40,8 +42,11 @@
 PRIOR_OBSERVATIONS = 2
 """Number of observations of the usual time that each back end is given. With two, one long request
 changes nothing, two of them half as much as they say, and three count in full."""
-MAX_TYPICAL_DURATIONS = 32
-"""Number of durations of a kind of request of which the typical one is the median."""
+MAX_DURATIONS_OF_BACK_END = 4
+"""Number of durations of a kind of request that count of one back end: the latest ones."""
+MAX_BACK_ENDS_OF_KIND = 16
+"""Number of back ends whose durations of a kind count: those that answered last. They are enough
+for a median, and each use sorts all of their durations."""
 MIN_TYPICAL_DURATIONS = 4
 """Number of durations of a kind of request before its typical one is known."""
 MIN_DURATION_S = 0.001
@@ -73,12 +78,46 @@
 
 
 class _Observation(NamedTuple):
-    """Duration of one attempt, as a multiple of the typical one, and its monotonic time."""
+    """Duration of one attempt at the usual speed of its back end.
 
-    ratio: float
+    Attributes
+    ==========
+
+    is_complete : whether the attempt was answered; otherwise it would have taken longer.
+    at : monotonic time, in seconds, at which the attempt ended.
+    """
+
+    kind: RequestKindKey
+    duration_s: float
+    is_complete: bool
     at: float
 
 
+class _TypicalDuration:
+    """Durations of one kind of request at the back ends that answered it last."""
+
+    __slots__ = ("_by_back_end",)
+
+    def __init__(self) -> None:
+        self._by_back_end: OrderedDict[str, deque[float]] = OrderedDict()
+
+    def add(self, back_end_id: str, duration_s: float) -> None:
+        """Add the duration of a complete answer."""
+        durations_s = self._by_back_end.get(back_end_id)
+        if durations_s is None:
+            durations_s = deque(maxlen=MAX_DURATIONS_OF_BACK_END)
+            self._by_back_end[back_end_id] = durations_s
+            if len(self._by_back_end) > MAX_BACK_ENDS_OF_KIND:
+                self._by_back_end.popitem(last=False)
+        self._by_back_end.move_to_end(back_end_id)
+        durations_s.append(duration_s)
+
+    def value_s(self) -> float | None:
+        """Return the typical duration; None while too few are known."""
+        known = list(itertools.chain.from_iterable(self._by_back_end.values()))
+        return statistics.median(known) if len(known) >= MIN_TYPICAL_DURATIONS else None
+
+
 @dataclass(slots=True)
 class _BackEndTimes:
     """Observations of one back end, and what was logged about it."""
@@ -90,12 +129,12 @@
     is_logged_slow: bool = False
     logged_at: float = float("-inf")
 
-    def fresh(self, now: float) -> list[float]:
-        """Return the ratios of the observations that are not forgotten."""
+    def fresh(self, now: float) -> deque[_Observation]:
+        """Return the observations that are not forgotten."""
         oldest = now - OBSERVATION_MAX_AGE_S
         while self.observations and self.observations[0].at < oldest:
             self.observations.popleft()
-        return [observation.ratio for observation in self.observations]
+        return self.observations
 
     def age_s(self, now: float) -> float:
         """Return the age of the latest observation; `OBSERVATION_MAX_AGE_S` if it is forgotten."""
@@ -142,6 +181,23 @@
     return min(MAX_RATIO, max(MIN_RATIO, ratio))
 
 
+def _ratios_of(
+    observations: Iterable[_Observation], typical_s: Mapping[RequestKindKey, float | None]
+) -> list[float]:
+    """Return the durations of a back end's observations as multiples of the typical ones.
+
+    Left out are kinds without a typical duration, and attempts that were given up before it.
+    """
+    ratios = []
+    for observation in observations:
+        usual_s = typical_s.get(observation.kind)
+        if usual_s is None:
+            continue
+        if observation.is_complete or observation.duration_s > usual_s:
+            ratios.append(observation.duration_s / usual_s)
+    return ratios
+
+
 class _CachedRatios(NamedTuple):
     """Ratios of a service, and the monotonic time at which they were computed."""
 
@@ -160,51 +216,42 @@
 
     def __init__(self, clock: Callable[[], float] = time.monotonic) -> None:
         self._clock = clock
-        self._durations_s: OrderedDict[RequestKindKey, deque[float]] = OrderedDict()
+        self._typical: OrderedDict[RequestKindKey, _TypicalDuration] = OrderedDict()
         self._back_ends: OrderedDict[str, _BackEndTimes] = OrderedDict()
         self._cached: dict[str, _CachedRatios] = {}
         self._logged_slow: set[str] = set()
 
     def record_answer(self, back_end: BackEnd, route: str, duration_s: float) -> None:
         """Record the duration of an attempt that was answered completely and without error."""
-        kind = RequestKindKey(back_end.record.service, route)
-        usual_s = self._at_usual_speed(back_end, duration_s)
-        typical_s = self._typical_s(kind)
-        self._durations_of(kind).append(usual_s)
-        if typical_s is not None:
-            self._observe(back_end, usual_s / typical_s)
+        observation = self._observation(back_end, route, duration_s, is_complete=True)
+        self._typical_of(observation.kind).add(back_end.record.id, observation.duration_s)
+        self._observe(back_end, observation)
 
     def record_unfinished(self, back_end: BackEnd, route: str, elapsed_s: float) -> None:
         """Record an attempt that was cancelled or timed out; see the module's rule."""
-        kind = RequestKindKey(back_end.record.service, route)
-        usual_s = self._at_usual_speed(back_end, elapsed_s)
-        typical_s = self._typical_s(kind)
-        if typical_s is not None and usual_s > typical_s:
-            self._observe(back_end, usual_s / typical_s)
+        observation = self._observation(back_end, route, elapsed_s, is_complete=False)
+        if observation.kind in self._typical:
+            self._observe(back_end, observation)
 
-    @staticmethod
-    def _at_usual_speed(back_end: BackEnd, duration_s: float) -> float:
-        return max(MIN_DURATION_S, duration_s) / (back_end.average_slowdown or 1.0)
-
-    def _durations_of(self, kind: RequestKindKey) -> deque[float]:
-        durations_s = self._durations_s.get(kind)
-        if durations_s is None:
-            durations_s = self._durations_s[kind] = deque(maxlen=MAX_TYPICAL_DURATIONS)
-            if len(self._durations_s) > MAX_KINDS:
-                self._durations_s.popitem(last=False)
-        self._durations_s.move_to_end(kind)
-        return durations_s
-
-    def _typical_s(self, kind: RequestKindKey) -> float | None:
-        durations_s = self._durations_s.get(kind)
-        if durations_s is None or len(durations_s) < MIN_TYPICAL_DURATIONS:
-            return None
-        return statistics.median(durations_s)
-
-    def _observe(self, back_end: BackEnd, ratio: float) -> None:
-        now = self._clock()
-        self._times_of(back_end).observations.append(_Observation(ratio, now))
-        self._log_changes(now, back_end.record.id)
+    def _observation(
+        self, back_end: BackEnd, route: str, duration_s: float, is_complete: bool
+    ) -> _Observation:
+        kind = RequestKindKey(back_end.record.service, route)
+        at_usual_speed_s = max(MIN_DURATION_S, duration_s) / (back_end.average_slowdown or 1.0)
+        return _Observation(kind, at_usual_speed_s, is_complete, self._clock())
+
+    def _typical_of(self, kind: RequestKindKey) -> _TypicalDuration:
+        typical = self._typical.get(kind)
+        if typical is None:
+            typical = self._typical[kind] = _TypicalDuration()
+            if len(self._typical) > MAX_KINDS:
+                self._typical.popitem(last=False)
+        self._typical.move_to_end(kind)
+        return typical
+
+    def _observe(self, back_end: BackEnd, observation: _Observation) -> None:
+        self._times_of(back_end).observations.append(observation)
+        self._log_changes(observation.at, back_end.record.id)
 
     def _times_of(self, back_end: BackEnd) -> _BackEndTimes:
         key, service = back_end.record.id, back_end.record.service
@@ -218,6 +265,14 @@
             self._logged_slow.discard(forgotten)
         return times
 
+    def remembered_kinds(self) -> int:
+        """Return the number of kinds of requests with durations."""
+        return len(self._typical)
+
+    def remembered_back_ends(self) -> int:
+        """Return the number of back ends with observations."""
+        return len(self._back_ends)
+
     # --- ratios
 
     def ratios(self, service: str, now: float) -> dict[str, float]:
@@ -228,9 +283,14 @@
         return cached.ratios
 
     def _compute(self, service: str, now: float) -> dict[str, float]:
+        typical_s = {
+            kind: typical.value_s()
+            for kind, typical in self._typical.items()
+            if kind.service == service
+        }
         return relative_ratios(
             {
-                key: times.fresh(now)
+                key: _ratios_of(times.fresh(now), typical_s)
                 for key, times in self._back_ends.items()
                 if times.service == service
             }
