Scoring reserve: no rounding error lets one request more in

Symptom: the new test of the reserve failed: with 75 slots and 33 reserved, 43 were filled. Cause: share times slots was above the slots left by a rounding error. Change: the share lies half a slot below. Measured: tests/jobs/test_scoring_reserve.py passes.

--- a/src/crankseam/jobs/scoring_reserve.py
+++ b/src/crankseam/jobs/scoring_reserve.py
@@ -28,9 +28,9 @@
 """Headroom for bursts, in standard deviations of a number of requests that arrive independently."""
 MIN_RESERVED_SLOTS = 1
 """Slots of each back end that scoring requests never fill."""
-SHARE_DECIMALS = 4
-"""Decimal places to which the share is rounded down, so that share times slots never exceeds the
-slots that are left by a rounding error."""
+ROUNDING_MARGIN_SLOTS = 0.5
+"""Subtracted from the slots that are left before their share is computed. Share times slots then
+lies between two whole numbers, and no rounding error lets one request more in."""
 
 
 def reserved_slots(callers_running: float, back_ends: int) -> int:
@@ -64,14 +64,13 @@
     ========
 
     >>> [scoring_share(running, [8] * 9) for running in (0.0, 4.0, 300.0)]
-    [0.875, 0.75, 0.5]
+    [0.8125, 0.6875, 0.5]
     """
     if not slots:
         return SCORING_SLOTS_SHARE
     fewest = min(slots)
-    share = 1.0 - reserved_slots(callers_running, len(slots)) / fewest
-    scale = 10.0**SHARE_DECIMALS
-    return max(SCORING_SLOTS_SHARE, math.floor(share * scale) / scale)
+    left = fewest - reserved_slots(callers_running, len(slots)) - ROUNDING_MARGIN_SLOTS
+    return max(SCORING_SLOTS_SHARE, left / fewest)
 
 
 class ScoringReserve:
