Expected completion: a taken slot counts as its part of a round, whether or not one is free

Cause: a nearly full sampler counted only half a round. Change: time factor times one plus requests by slots; one constant less.

--- a/src/crankseam/serving/expected_completion.py
+++ b/src/crankseam/serving/expected_completion.py
@@ -5,12 +5,13 @@
 streams, of other back ends `service_times`), seconds old; the reported slowdown, which changes many
 times a second.
 Rule: the expected completion is the back end's time factor, that is, how long work takes there
-compared with the service's median back end, times one request and the wait before it. The time
-factor is the learnt ratio without the slowdown of that time, times the slowdown expected now: the
-reported figure while it is fresh, fading into the back end's own average and, once that is too old,
-into the median of the service. The wait counts whole rounds of the slots that are taken, and a part
-of a round for the slots that may have been taken since the report. The requests of others fade with
-the age of the report, and only those of this process remain once it is stale.
+compared with the service's median back end, times one request and the rounds before it (requests
+there by slots). A round counts in part even where a slot is free: the slot may be taken by the time
+the request arrives, the likelier the fewer are free. The time factor is the learnt ratio without
+the slowdown of that time, times the slowdown expected now: the reported figure while it is fresh,
+fading into the back end's own average and, once that is too old, into the median of the service.
+The requests of others fade with the age of the report, and only those of this process remain once
+it is stale.
 Purpose: new work goes where it is done soonest rather than where fewest requests are; a slow back
 end is left to those requests that would wait longer elsewhere.
 Logged as: `back_end_slow` and `back_end_normal` (learnt ratios); `scoring_sent`, `item_sent` and
@@ -29,9 +30,6 @@
 from crankseam.serving.paces import SamplerPaces
 from crankseam.serving.service_times import ServiceTimes, bounded_ratio
 
-UNSEEN_LOAD_WEIGHT = 0.5
-"""Rounds of waiting, in service times, that a back end whose slots are all taken counts more than
-an idle one. A free slot of the last report may be taken by now, the sooner the fewer there are."""
 MAX_REPORTED_ROUNDS = 4.0
 """Requests of others that are believed, as a multiple of the slots. A back end that reports more
 rejects work, and one that reports wrongly is still tried when the rest are as full."""
@@ -92,13 +90,11 @@
     ========
 
     >>> [expected_completion(load, 4, 1.0) for load in (0.0, 2.0, 4.0, 8.0)]
-    [1.0, 1.25, 1.75, 2.75]
+    [1.0, 1.5, 2.0, 3.0]
     >>> expected_completion(0.0, 4, 2.4)
     2.4
     """
-    rounds_waiting = max(0.0, load + 1.0 - slots) / slots
-    unseen_rounds = UNSEEN_LOAD_WEIGHT * min(1.0, load / slots)
-    return time_factor * (1.0 + rounds_waiting + unseen_rounds)
+    return time_factor * (1.0 + load / slots)
 
 
 def load_at(back_end: BackEnd, now: float) -> float:
