Time factors are reused for 50 ms

Symptom: a round of places with one waiting item took 305 us by load alone and 1,390 us at a contended service (100 back ends, busy machine); the dispatcher runs one at each release. Cause: the factors of the whole service were computed anew for each round. Change: they are reused for 50 ms; both users pass all back ends of the service.

--- a/src/crankseam/serving/expected_completion.py
+++ b/src/crankseam/serving/expected_completion.py
@@ -24,6 +24,7 @@
 import math
 import statistics
 from collections.abc import Mapping, Sequence
+from typing import NamedTuple
 
 from crankseam.serving.back_ends import LOAD_REPORT_MAX_AGE_S, BackEnd, slots_of
 from crankseam.serving.contention import Contention, NoContention
@@ -46,6 +47,9 @@
 FACTOR_DECIMALS = 1
 """Decimal places of a time factor. Back ends that differ by less are equally fast, so that their
 load and zone decide."""
+FACTORS_MAX_AGE_S = 0.05
+"""Seconds for which the time factors of a service are reused: well below the time for which a
+reported slowdown holds. A busy process decides hundreds of times a second."""
 ABOUT_EQUAL_FRACTION = 0.15
 """Relative difference up to which two expected completions are about equal, so that the zone
 decides."""
@@ -164,6 +168,13 @@
     return statistics.median(values) if values else 1.0
 
 
+class _CachedFactors(NamedTuple):
+    """Time factors of a service, and the monotonic time at which they were computed."""
+
+    factors: TimeFactors
+    at: float
+
+
 class CompletionEstimates:
     """Time factors of the back ends of contended services.
 
@@ -182,16 +193,29 @@
         self._contention = contention
         self._service_times = service_times
         self._paces = paces
+        self._cached: dict[str, _CachedFactors] = {}
 
     def time_factors(
         self, service: str, back_ends: Sequence[BackEnd], now: float
     ) -> TimeFactors | None:
-        """Return the time factors of back ends of a service; None if it is not contended.
+        """Return the time factors of the back ends of a service; None if it is not contended.
 
-        The caller then decides by load alone.
+        The caller then decides by load alone. A back end that has just appeared may be missing.
+
+        Parameters
+        ==========
+
+        back_ends : all back ends of the service that accept new work.
         """
         if not self._contention.is_contended(service):
             return None
+        cached = self._cached.get(service)
+        if cached is None or now - cached.at > FACTORS_MAX_AGE_S:
+            factors = self._compute(service, back_ends, now)
+            cached = self._cached[service] = _CachedFactors(factors, now)
+        return cached.factors
+
+    def _compute(self, service: str, back_ends: Sequence[BackEnd], now: float) -> TimeFactors:
         ratios = self._service_times.ratios(service, now) | self._pace_ratios(back_ends)
         slowdowns = {one.record.id: _slowdown_now(one, now) for one in back_ends}
         known = [slowdown for slowdown in slowdowns.values() if slowdown is not None]
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -160,7 +160,7 @@
         now = clocks.monotonic_s()
         service = self._registry.of_service(forwarding.service)
         candidates = [back_end for back_end in service if self._registry.may_send(back_end, now)]
-        factors = self._estimates.time_factors(forwarding.service, candidates, now)
+        factors = self._estimates.time_factors(forwarding.service, service, now)
         chosen = choose_back_end(candidates, self._zone, now, history.tried, time_factors=factors)
         if chosen is None and retry.may_reuse_back_ends(history):
             chosen = choose_back_end(candidates, self._zone, now, time_factors=factors)
--- a/tests/serving/test_expected_completion.py
+++ b/tests/serving/test_expected_completion.py
@@ -12,6 +12,7 @@
 )
 from crankseam.serving.contention import NoContention
 from crankseam.serving.expected_completion import (
+    FACTORS_MAX_AGE_S,
     MAX_BELIEVED_SLOWDOWN,
     MAX_REPORTED_ROUNDS,
     MIN_BELIEVED_SLOWDOWN,
@@ -112,6 +113,15 @@
     assert estimates_of([fresh, older]) == {"a": 4.0, "b": 1.0}
 
 
+def test_factors_are_reused_for_a_moment_only():
+    sampler = reporting("a", 2.0, 2.0, 100.0)
+    estimates = CompletionEstimates(AlwaysContended(), ServiceTimes())
+    before = estimates.time_factors("s", [sampler], 100.0)
+    sampler.slowdown = sampler.average_slowdown = 3.0
+    assert estimates.time_factors("s", [sampler], 100.0 + FACTORS_MAX_AGE_S / 2) == before
+    assert estimates.time_factors("s", [sampler], 100.0 + 2 * FACTORS_MAX_AGE_S) == {"a": 3.0}
+
+
 def test_a_back_end_that_claims_to_be_far_faster_is_not_believed():
     assert estimates_of([reporting("a", 0.1, 0.1, 100.0)]) == {"a": MIN_BELIEVED_SLOWDOWN}
 
