Callers' work: one request that hangs is not taken for one at each process

Change: an attempt counts with four typical durations at most, at its end; the sum fades by the same window. The test of requests that still run goes with that (they count at their end); tests of one that hangs, and of all that take long, come in its place.

--- a/src/crankseam/serving/attempt_observer.py
+++ b/src/crankseam/serving/attempt_observer.py
@@ -79,12 +79,12 @@
         if not self._contention.is_contended(service):
             yield ObservedAttempt()
             return
-        began_at = self._caller_work.begin(service)
+        began_at = self._clock()
         try:
             with self.attempt(back_end, route) as observed:
                 yield observed
         finally:
-            self._caller_work.end(service, began_at)
+            self._caller_work.record(service, self._clock() - began_at)
 
 
 def no_observer() -> AttemptObserver:
--- a/src/crankseam/serving/caller_work.py
+++ b/src/crankseam/serving/caller_work.py
@@ -1,10 +1,13 @@
 """Measures how many of this process's forwarded requests run at each service on average.
 
-Inputs: begin and end of each attempt of this process at a contended service, exact.
-Rule: the number of running attempts is averaged over time with the window WINDOW_S; one attempt of
-average duration, spread over the window, is added for those that happened not to come.
+Inputs: the duration of each attempt of this process at a contended service, exact, at its end.
+Rule: the seconds of the attempts are summed with weights that fade over WINDOW_S, and divided by
+it. An attempt counts with MAX_DURATION_FACTOR typical durations at most, the typical one being the
+median of the last attempts. One more of typical duration is added for those that happened not to
+come.
 Purpose: a process that forwards few requests can tell how many slots callers need;
-`jobs.scoring_reserve` reserves them.
+`jobs.scoring_reserve` reserves them. It multiplies the figure by the number of processes, so that
+one request that hangs must not count as one at each of them.
 Logged as: nothing; the requests themselves are (`request_answered`).
 Tested by: tests/serving/test_caller_work.py.
 """
@@ -12,15 +15,22 @@
 from __future__ import annotations
 
 import math
+import statistics
 import time
+from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 WINDOW_S = 8.0
-"""Smoothing window, in seconds: long enough for a process with a request every few seconds, and
-short enough that the reserve is there soon after callers come."""
-DURATION_WEIGHT = 0.2
-"""Weight of one more attempt in the average duration of a service's attempts."""
+"""Time constant, in seconds, at which attempts fade: long enough for a process with a request every
+few seconds, and short enough that the reserve is there soon after callers come."""
+MAX_DURATIONS = 16
+"""Number of durations of a service of which the typical one is the median: the latest ones."""
+MIN_DURATIONS = 3
+"""Number of durations of a service before one of them can be told to be unusual."""
+MAX_DURATION_FACTOR = 4.0
+"""Typical durations as which an attempt counts at most. If all of them take longer, the typical
+duration follows within a few attempts."""
 
 
 @dataclass(slots=True)
@@ -28,17 +38,25 @@
     """Attempts at one service."""
 
     updated_at: float
-    running: int = 0
-    average_running: float = 0.0
-    average_duration_s: float = 0.0
-
-    def advance(self, now: float) -> None:
-        """Average over the time since the last update, in which `running` did not change."""
-        elapsed_s = max(0.0, now - self.updated_at)
-        weight = 1.0 - math.exp(-elapsed_s / WINDOW_S)
-        self.average_running += weight * (self.running - self.average_running)
+    fading_s: float = 0.0
+    durations_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_DURATIONS))
+
+    def fade(self, now: float) -> None:
+        """Reduce the weight of the attempts so far by the time since the last update."""
+        self.fading_s *= math.exp(-max(0.0, now - self.updated_at) / WINDOW_S)
         self.updated_at = now
 
+    def add(self, duration_s: float) -> None:
+        """Add an attempt that has just ended."""
+        self.durations_s.append(duration_s)
+        if len(self.durations_s) >= MIN_DURATIONS:
+            duration_s = min(duration_s, MAX_DURATION_FACTOR * self.typical_s())
+        self.fading_s += duration_s
+
+    def typical_s(self) -> float:
+        """Return the typical duration of an attempt."""
+        return statistics.median(self.durations_s)
+
 
 class CallerWork:
     """Attempts of this process's callers, by service. The services are those of the configuration.
@@ -54,26 +72,14 @@
         self._started_at = clock()
         self._services: dict[str, _ServiceWork] = {}
 
-    def begin(self, service: str) -> float:
-        """Record that an attempt begins; returns the time to be given to `end`."""
+    def record(self, service: str, duration_s: float) -> None:
+        """Record an attempt that ended, with or without an answer."""
         now = self._clock()
         work = self._services.get(service)
         if work is None:
             work = self._services[service] = _ServiceWork(now)
-        work.advance(now)
-        work.running += 1
-        return now
-
-    def end(self, service: str, began_at: float) -> None:
-        """Record that an attempt ends."""
-        now = self._clock()
-        work = self._services[service]
-        work.advance(now)
-        work.running -= 1
-        duration_s = now - began_at
-        if not work.average_duration_s:
-            work.average_duration_s = duration_s
-        work.average_duration_s += DURATION_WEIGHT * (duration_s - work.average_duration_s)
+        work.fade(now)
+        work.add(duration_s)
 
     def is_known(self) -> bool:
         """Whether this process has run long enough for its averages to mean something."""
@@ -84,5 +90,5 @@
         work = self._services.get(service)
         if work is None:
             return 0.0
-        work.advance(self._clock())
-        return work.average_running + work.average_duration_s / WINDOW_S
+        work.fade(self._clock())
+        return (work.fading_s + work.typical_s()) / WINDOW_S
