A wrong slowdown is corrected by the times that are learnt

Symptom: the new test failed (by reading): a back end that reports a slowdown of 0.1 and is as fast as the others would have had a learnt ratio of 8 and a factor of 4. Cause: times were divided by the reported average, decisions used it within 0.5 to 8. Change: both use the same limits, and the lower limit of a ratio is the inverse of the highest slowdown.

--- a/src/crankseam/serving/expected_completion.py
+++ b/src/crankseam/serving/expected_completion.py
@@ -29,7 +29,7 @@
 from crankseam.serving.back_ends import LOAD_REPORT_MAX_AGE_S, BackEnd, slots_of
 from crankseam.serving.contention import Contention, NoContention
 from crankseam.serving.paces import SamplerPaces
-from crankseam.serving.service_times import ServiceTimes, bounded_ratio
+from crankseam.serving.service_times import ServiceTimes, believed_slowdown, bounded_ratio
 
 MAX_REPORTED_ROUNDS = 4.0
 """Requests of others that are believed, as a multiple of the slots. A back end that reports more
@@ -39,11 +39,6 @@
 holds for a fraction of a second."""
 SLOWDOWN_MAX_AGE_S = 5.0
 """Seconds after which the average slowdown of a back end that reports nothing is forgotten."""
-MIN_BELIEVED_SLOWDOWN = 0.5
-"""Lower limit of a slowdown in a decision. 1 is the usual speed, and a back end that claims to be
-far faster is not given all requests for it."""
-MAX_BELIEVED_SLOWDOWN = 8.0
-"""Upper limit of a slowdown in a decision."""
 FACTOR_DECIMALS = 1
 """Decimal places of a time factor. Back ends that differ by less are equally fast, so that their
 load and zone decide."""
@@ -149,7 +144,7 @@
         return None
     freshness = math.exp(-max(0.0, age_s) / SLOWDOWN_FRESH_S)
     expected = average + (reported - average) * freshness
-    return min(MAX_BELIEVED_SLOWDOWN, max(MIN_BELIEVED_SLOWDOWN, expected))
+    return believed_slowdown(expected)
 
 
 def _slowdown_now(back_end: BackEnd, now: float) -> float | None:
@@ -159,11 +154,6 @@
     return expected_slowdown(reported, average, now - back_end.reported_at)
 
 
-def _average_slowdown(back_end: BackEnd) -> float:
-    average = back_end.average_slowdown or 1.0
-    return min(MAX_BELIEVED_SLOWDOWN, max(MIN_BELIEVED_SLOWDOWN, average))
-
-
 def _median_or_usual(values: list[float]) -> float:
     return statistics.median(values) if values else 1.0
 
@@ -230,7 +220,7 @@
         if self._paces is None:
             return {}
         paces_s = {
-            one.record.id: pace_s / _average_slowdown(one)
+            one.record.id: pace_s / believed_slowdown(one.average_slowdown)
             for one in back_ends
             if (pace_s := self._paces.steady_s(one)) is not None
         }
--- a/src/crankseam/serving/service_times.py
+++ b/src/crankseam/serving/service_times.py
@@ -51,10 +51,16 @@
 """Number of durations of a kind of request before its typical one is known."""
 MIN_DURATION_S = 0.001
 """Lower limit of a duration, in seconds: below it, differences are noise of the event loop."""
-MIN_RATIO = 0.25
-"""Lower limit of a ratio. A back end that answers at once may be one that does not do the work."""
 MAX_RATIO = 8.0
 """Upper limit of a ratio: above it, a back end is the last choice anyhow."""
+MIN_BELIEVED_SLOWDOWN = 0.5
+"""Lower limit of a slowdown in a decision. 1 is the usual speed, and a back end that claims to be
+far faster is not given all requests for it."""
+MAX_BELIEVED_SLOWDOWN = 8.0
+"""Upper limit of a slowdown in a decision."""
+MIN_RATIO = 1.0 / MAX_BELIEVED_SLOWDOWN
+"""Lower limit of a ratio: a back end that reports the highest slowdown and is as fast as the others
+has this one."""
 MAX_KINDS = 256
 """Number of kinds of requests whose typical duration is known; the oldest are forgotten."""
 MAX_BACK_ENDS = 1024
@@ -141,6 +147,23 @@
         return now - self.observations[-1].at if self.observations else OBSERVATION_MAX_AGE_S
 
 
+def believed_slowdown(slowdown: float | None) -> float:
+    """Return a slowdown, limited to the range that decisions believe; the usual 1 if unknown.
+
+    What is learnt and what is expected now must use the same limits: a wrong report then cancels
+    out once times are learnt.
+
+    Examples
+    ========
+
+    >>> [believed_slowdown(slowdown) for slowdown in (None, 0.1, 1.7, 20.0)]
+    [1.0, 0.5, 1.7, 8.0]
+    """
+    if slowdown is None:
+        return 1.0
+    return min(MAX_BELIEVED_SLOWDOWN, max(MIN_BELIEVED_SLOWDOWN, slowdown))
+
+
 def ratio_with_prior(observed: list[float]) -> float:
     """Return the ratio of a back end by itself; see the module's rule.
 
@@ -237,7 +260,8 @@
         self, back_end: BackEnd, route: str, duration_s: float, is_complete: bool
     ) -> _Observation:
         kind = RequestKindKey(back_end.record.service, route)
-        at_usual_speed_s = max(MIN_DURATION_S, duration_s) / (back_end.average_slowdown or 1.0)
+        slowdown = believed_slowdown(back_end.average_slowdown)
+        at_usual_speed_s = max(MIN_DURATION_S, duration_s) / slowdown
         return _Observation(kind, at_usual_speed_s, is_complete, self._clock())
 
     def _typical_of(self, kind: RequestKindKey) -> _TypicalDuration:
--- a/tests/serving/test_expected_completion.py
+++ b/tests/serving/test_expected_completion.py
@@ -13,9 +13,7 @@
 from crankseam.serving.contention import NoContention
 from crankseam.serving.expected_completion import (
     FACTORS_MAX_AGE_S,
-    MAX_BELIEVED_SLOWDOWN,
     MAX_REPORTED_ROUNDS,
-    MIN_BELIEVED_SLOWDOWN,
     SLOWDOWN_MAX_AGE_S,
     CompletionEstimates,
     estimated_load,
@@ -24,7 +22,13 @@
 )
 from crankseam.serving.load_reports import LoadReport
 from crankseam.serving.paces import SamplerPaces
-from crankseam.serving.service_times import ServiceTimes
+from crankseam.serving.service_times import (
+    MAX_BELIEVED_SLOWDOWN,
+    MIN_BELIEVED_SLOWDOWN,
+    RATIOS_MAX_AGE_S,
+    ServiceTimes,
+)
+from tests.support.clock import FakeClock
 
 loads = st.floats(0.0, 1000.0)
 slot_counts = st.integers(1, 64)
@@ -126,6 +130,20 @@
     assert estimates_of([reporting("a", 0.1, 0.1, 100.0)]) == {"a": MIN_BELIEVED_SLOWDOWN}
 
 
+@pytest.mark.parametrize("claimed", [0.1, 0.5, 3.0, 20.0])
+def test_a_wrong_slowdown_is_corrected_by_the_times_that_are_learnt(claimed):
+    clock = FakeClock(100.0)
+    times = ServiceTimes(clock.monotonic)
+    back_ends = [reporting("a", 1.0, 1.0, 100.0), reporting("b", 1.0, 1.0, 100.0)]
+    back_ends.append(reporting("c", claimed, claimed, 100.0))
+    for one in back_ends:
+        for _ in range(4):
+            times.record_answer(one, "r", 0.04)
+    clock.now += 2 * RATIOS_MAX_AGE_S
+    factors = CompletionEstimates(AlwaysContended(), times).time_factors("s", back_ends, clock.now)
+    assert factors == {"a": 1.0, "b": 1.0, "c": 1.0}
+
+
 def test_the_pace_gives_the_speed_and_the_slowdown_the_moment():
     paces = SamplerPaces()
     usual, slow, slow_now = (reporting(name, 1.0, 1.0, 100.0) for name in "abc")
