--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -22,6 +22,7 @@
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
 from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.paces import SamplerPaces
 
 POLL_INTERVAL_S = 0.05
@@ -37,6 +38,7 @@
         paces: observed paces of the samplers; a new, empty `SamplerPaces` if omitted.
         memory_of: returns the memory of each sampler of a service, None if unknown.
         fairness: shares the places among tenants; None if the items go by rank alone.
+        estimates: time factors of the back ends of contended services.
     """
 
     def __init__(
@@ -46,8 +48,10 @@
         paces: SamplerPaces | None = None,
         memory_of: MemoryLookup = lambda service: None,
         fairness: ItemFairness | None = None,
+        estimates: CompletionEstimates | None = None,
     ) -> None:
         self._fairness = fairness
+        self._estimates = estimates or no_estimates()
         self._memory_of = memory_of
         self._registry = registry
         self._zone = zone
@@ -95,7 +99,9 @@
 
     def _assign_places(self) -> None:
         self._migrations.grant_all()
-        round_ = AssignmentRound(self._registry, self.paces, self._zone, self._memory_of)
+        round_ = AssignmentRound(
+            self._registry, self.paces, self._zone, self._memory_of, self._estimates
+        )
         if self._fairness is not None and self._fairness.is_active():
             self._assign_by_shares(round_, self._fairness)
             return
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -22,9 +22,11 @@
 from crankseam.quarantine.model import RequestIdentity
 from crankseam.quarantine.request_tracker import RequestTracker, Send
 from crankseam.serving import retry
+from crankseam.serving.attempt_observer import AttemptObserver, no_observer
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
 from crankseam.serving.contention import NoContention
+from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.messages import (
     Answer,
     AttemptBroken,
@@ -38,6 +40,9 @@
 
 log = logging.getLogger(__name__)
 
+MIN_ERROR_STATUS = 400
+"""Lowest HTTP status of an answer that may have come without the work of its route being done."""
+
 
 @dataclass(frozen=True)
 class _Forwarding:
@@ -67,6 +72,8 @@
     guard : holds back requests during which back ends terminated.
     zone : zone of this process; among equally loaded back ends, those in this zone are preferred.
     gate : limits the requests of contended services; no service is limited if it is missing.
+    estimates : time factors of the back ends of contended services.
+    observer : observes the attempts at contended services.
 
     Attributes
     ==========
@@ -82,8 +89,12 @@
         guard: CrashGuard,
         zone: str,
         gate: OverloadGate | None = None,
+        estimates: CompletionEstimates | None = None,
+        observer: AttemptObserver | None = None,
     ) -> None:
         self._gate = gate or OverloadGate(registry, NoContention())
+        self._estimates = estimates or no_estimates()
+        self._observer = observer or no_observer()
         self.on_started: list[Callable[[str, float], None]] = []
         self._registry = registry
         self._client = client
@@ -173,9 +184,10 @@
         now = clocks.monotonic_s()
         service = self._registry.of_service(forwarding.service)
         candidates = [back_end for back_end in service if self._registry.may_send(back_end, now)]
-        chosen = choose_back_end(candidates, self._zone, now, history.tried)
+        factors = self._estimates.time_factors(forwarding.service, service, now)
+        chosen = choose_back_end(candidates, self._zone, now, history.tried, time_factors=factors)
         if chosen is None and retry.may_reuse_back_ends(history):
-            chosen = choose_back_end(candidates, self._zone, now)
+            chosen = choose_back_end(candidates, self._zone, now, time_factors=factors)
         return chosen
 
     async def _attempt_hedged(
@@ -229,8 +241,12 @@
         back_end.occupy_slot()
         sent_at, may_have_run = clocks.boottime_s(), True
         try:
-            with forwarding.tracker.sending() as send:
+            with (
+                self._observer.caller_attempt(back_end, forwarding.route.name) as observed,
+                forwarding.tracker.sending() as send,
+            ):
                 answer = await self._send(forwarding, back_end, send)
+                observed.is_complete = _is_complete_success(answer)
         except AttemptNotRun as rejection:
             may_have_run = False
             history.record_rejected(back_end.record.id, rejection.reason)
@@ -309,6 +325,11 @@
             tracker.close()
 
 
+def _is_complete_success(answer: Answer | StreamingAnswer) -> bool:
+    """Whether an answer tells how long the back end takes for the work of its route."""
+    return isinstance(answer, Answer) and answer.status < MIN_ERROR_STATUS
+
+
 def _log_outcome(forwarding: _Forwarding, answer: Answer | StreamingAnswer | None) -> None:
     request, history, tracker = forwarding.request, forwarding.history, forwarding.tracker
     log.info(
