--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -23,30 +23,32 @@
 from __future__ import annotations
 
 import asyncio
-import enum
 import itertools
 import logging
 import math
 import random
-from collections.abc import AsyncGenerator, Callable
+from collections.abc import AsyncGenerator
 from dataclasses import dataclass, field
-from types import TracebackType
-from typing import Any, NamedTuple, Protocol
 
-from crankseam import clocks
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
 from crankseam.jobs.places import slots_of
 from crankseam.overload.concurrency import LATENCY_TOLERANCE, ConcurrencyLimit
 from crankseam.overload.estimate import AnswerEstimate, DrainRate, estimate_answer
 from crankseam.overload.hedge_budget import HedgeBudget
+from crankseam.overload.held_body import HeldBody
 from crankseam.overload.latency import Latencies
 from crankseam.overload.line import Waiter, WaitingLine
+from crankseam.overload.messages import (
+    SYSTEM_CLOCKS,
+    ContentionLookup,
+    GateClocks,
+    GateRequest,
+    RefusalCause,
+)
 from crankseam.overload.retry_after import choose_retry_after_s
 from crankseam.serving.back_ends import BackEndRegistry
 from crankseam.serving.fair_order import ArrivalOrder, FairOrder
-from crankseam.serving.messages import InboundRequest
-from crankseam.serving.routes import Route
 
 log = logging.getLogger(__name__)
 
@@ -54,54 +56,6 @@
 """Shortest time, in seconds, between two log lines about the limit of one service."""
 
 
-class RefusalCause(enum.Enum):
-    """Why a request was refused before it was sent."""
-
-    ESTIMATE = "no answer in time"
-    LINE_FULL = "line full"
-    DISPLACED = "displaced by another request"
-    NO_BACK_END = "no back end"
-
-
-class ContentionLookup(Protocol):
-    """Tells for which services overload control is in effect; see `serving.contention`."""
-
-    def is_contended(self, service: str, /) -> bool:
-        """Whether callers compete for a service."""
-
-
-class GateClocks(NamedTuple):
-    """Clocks of a gate, in seconds; see `crankseam.clocks`."""
-
-    boottime_s: Callable[[], float] = clocks.boottime_s
-    monotonic_s: Callable[[], float] = clocks.monotonic_s
-
-
-SYSTEM_CLOCKS = GateClocks()
-"""Clocks of the machine."""
-
-
-class GateRequest(NamedTuple):
-    """A request at the gate.
-
-    Attributes
-    ==========
-
-    give_up_at : time, in seconds of `clocks.boottime_s`, at which the request is given up.
-    """
-
-    inbound: InboundRequest
-    route: Route
-    service: str
-    give_up_at: float
-
-    @property
-    def priority(self) -> int:
-        """Priority of the request; 0 is served first."""
-        priority = self.inbound.priority
-        return self.route.priority if priority is None else priority
-
-
 @dataclass(slots=True, eq=False)
 class _Waiting(Waiter):
     """A waiting request with what the gate needs to decide about it."""
@@ -169,7 +123,7 @@
 
     def hold_during(self, chunks: AsyncGenerator[bytes, None]) -> AsyncGenerator[bytes, None]:
         """Return the body of a streamed answer such that its end releases this permit."""
-        return chunks if self._state is None else PermitHoldingBody(chunks, self)
+        return chunks if self._state is None else HeldBody(chunks, self.release)
 
     def may_hedge(self, slow: str) -> bool:
         """Whether a hedge may be sent; it then holds a place until this permit is released.
@@ -574,41 +528,3 @@
     def waiting_total(self) -> int:
         """Return the number of requests that wait for any service."""
         return sum(len(state.line) for state in self._states.values())
-
-
-class PermitHoldingBody(AsyncGenerator[bytes, None]):
-    """Body of a streamed answer, which keeps the place of its request until it has ended.
-
-    A generator that was never started can't release anything when it is closed; this one can.
-    """
-
-    def __init__(self, chunks: AsyncGenerator[bytes, None], permit: Permit) -> None:
-        self._chunks = chunks
-        self._permit = permit
-
-    async def asend(self, value: None) -> bytes:
-        """See AsyncGenerator."""
-        try:
-            return await self._chunks.asend(value)
-        except BaseException:
-            self._permit.release()
-            raise
-
-    async def athrow(
-        self,
-        typ: Any,
-        val: Any = None,
-        tb: TracebackType | None = None,
-    ) -> bytes:
-        """See AsyncGenerator."""
-        try:
-            return await self._chunks.athrow(typ, val, tb)
-        finally:
-            self._permit.release()
-
-    async def aclose(self) -> None:
-        """See AsyncGenerator."""
-        try:
-            await self._chunks.aclose()
-        finally:
-            self._permit.release()
--- a/tests/overload/rig.py
+++ b/tests/overload/rig.py
@@ -4,7 +4,8 @@
 import logging
 import random
 
-from crankseam.overload.gate import GateClocks, GateRequest, OverloadGate
+from crankseam.overload.gate import OverloadGate
+from crankseam.overload.messages import GateClocks, GateRequest
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
 from crankseam.serving.messages import InboundRequest
 from crankseam.serving.routes import RequestKind, Route, Share
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -7,8 +7,9 @@
 
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
-from crankseam.overload.gate import PermitHoldingBody, RefusalCause
+from crankseam.overload.held_body import HeldBody
 from crankseam.overload.line import MAX_LINE_ENTRIES, WaitingLine
+from crankseam.overload.messages import RefusalCause
 from crankseam.serving.fair_order import ArrivalOrder
 from tests.overload.rig import SERVICE, Contended, LoggedEvents, Rig, settle, virtual
 
@@ -339,7 +340,7 @@
 
     rig = Rig(slots=2)
     unread, read = [
-        PermitHoldingBody(chunks(), await rig.gate.enter(rig.request())) for _ in range(2)
+        HeldBody(chunks(), (await rig.gate.enter(rig.request())).release) for _ in range(2)
     ]
     assert rig.state.running == 2
     assert [chunk async for chunk in read] == [b"1", b"2"]
