Waiting lines take the order among tenants of their service and priority

Cause: virtual times of two priorities are not comparable, and the line had one order for all; nothing passed the tenants' order to it. Tests pass the same orders as before through a function of the priority; no assertion changed.

--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -27,8 +27,9 @@
 import logging
 import math
 import random
-from collections.abc import AsyncGenerator
+from collections.abc import AsyncGenerator, Callable
 from dataclasses import dataclass, field
+from functools import partial
 
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
@@ -48,7 +49,7 @@
 )
 from crankseam.overload.retry_after import choose_retry_after_s
 from crankseam.serving.back_ends import BackEndRegistry
-from crankseam.serving.fair_order import ArrivalOrder, FairOrder
+from crankseam.serving.fair_order import FairOrder, OrderLookup, order_of_arrival
 
 log = logging.getLogger(__name__)
 
@@ -69,9 +70,9 @@
 class _ServiceState:
     """Overload state of one service."""
 
-    def __init__(self, order: FairOrder) -> None:
+    def __init__(self, order_of: Callable[[int], FairOrder]) -> None:
         self.limit = ConcurrencyLimit()
-        self.line = WaitingLine(order)
+        self.line = WaitingLine(order_of)
         self.drain = DrainRate()
         self.latencies = Latencies()
         self.hedges = HedgeBudget()
@@ -164,7 +165,7 @@
     ==========
 
     contention : tells for which services the gate is in effect.
-    order : order among the tenants of one priority.
+    order_of : returns the order among the tenants of a service and priority.
     generator : source of the random waits that callers are told; set by tests.
     """
 
@@ -172,13 +173,13 @@
         self,
         registry: BackEndRegistry,
         contention: ContentionLookup,
-        order: FairOrder | None = None,
+        order_of: OrderLookup = order_of_arrival,
         gate_clocks: GateClocks = SYSTEM_CLOCKS,
         generator: random.Random | None = None,
     ) -> None:
         self._registry = registry
         self._contention = contention
-        self._order: FairOrder = order if order is not None else ArrivalOrder()
+        self._order_of = order_of
         self._boottime_s, self._monotonic_s = gate_clocks
         self._generator = generator or random.Random()
         self._states: dict[str, _ServiceState] = {}
@@ -272,7 +273,8 @@
         now = self._monotonic_s()
         state.drain.set_busy(state.is_limit_in_use(), now)
         state.assumed_s = request.route.target_latency_s
-        self._order.charge(request.inbound.tenant, state.expected_s())
+        order = self._order_of(request.service, request.priority)
+        order.charge(request.inbound.tenant, state.expected_s())
         return Permit(self, state, request, now)
 
     def _dispatch(self, state: _ServiceState) -> None:
@@ -405,7 +407,7 @@
     def _current_state(self, service: str) -> _ServiceState:
         state = self._states.get(service)
         if state is None:
-            state = self._states[service] = _ServiceState(self._order)
+            state = self._states[service] = _ServiceState(partial(self._order_of, service))
         self._refresh(state, service)
         return state
 
--- a/src/crankseam/overload/line.py
+++ b/src/crankseam/overload/line.py
@@ -19,6 +19,7 @@
 from __future__ import annotations
 
 import heapq
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
@@ -129,22 +130,24 @@
     Attributes
     ==========
 
+    order : order among the tenants.
     queue : heap of the tenants. An entry whose key is no longer that of its tenant is outdated.
     passed_over : number of requests in a row that went first from more urgent priorities.
     """
 
+    order: FairOrder
     tenants: dict[str, _TenantLine] = field(default_factory=dict)
     queue: list[tuple[_TenantKey, str]] = field(default_factory=list)
     count: int = 0
     passed_over: int = 0
 
-    def add(self, waiter: Waiter, order: FairOrder) -> None:
+    def add(self, waiter: Waiter) -> None:
         line = self.tenants.get(waiter.tenant)
         if line is None:
             line = self.tenants[waiter.tenant] = _TenantLine(waiter.tenant)
         line.add(waiter)
         self.count += 1
-        self._requeue(line, order)
+        self._requeue(line)
 
     def discard(self, waiter: Waiter) -> None:
         line = self.tenants[waiter.tenant]
@@ -153,7 +156,7 @@
         if not line.count:
             del self.tenants[waiter.tenant]
 
-    def first(self, order: FairOrder) -> Waiter:
+    def first(self) -> Waiter:
         """Return the next waiter; requires that one waits.
 
         Keys that have grown since they were queued are corrected when they reach the head, each at
@@ -167,19 +170,19 @@
                 heapq.heappop(self.queue)
                 continue
             waiter_key, waiter = line.first()
-            if name in corrected or key == _TenantKey(order.start_of(name), waiter_key):
+            if name in corrected or key == _TenantKey(self.order.start_of(name), waiter_key):
                 return waiter
             corrected.add(name)
             heapq.heappop(self.queue)
             line.key = None
-            self._requeue(line, order)
+            self._requeue(line)
 
     def largest(self) -> _TenantLine:
         """Return the tenant with the most waiting requests."""
         return max(self.tenants.values(), key=lambda line: line.count)
 
-    def _requeue(self, line: _TenantLine, order: FairOrder) -> None:
-        key = _TenantKey(order.start_of(line.name), line.first()[0])
+    def _requeue(self, line: _TenantLine) -> None:
+        key = _TenantKey(self.order.start_of(line.name), line.first()[0])
         if key == line.key:
             return
         line.key = key
@@ -199,7 +202,7 @@
     Parameters
     ==========
 
-    order : order among the tenants of one priority.
+    order_of : returns the order among the tenants of a priority.
     max_entries, max_bytes : bounds of the line.
 
     Attributes
@@ -210,11 +213,11 @@
 
     def __init__(
         self,
-        order: FairOrder,
+        order_of: Callable[[int], FairOrder],
         max_entries: int = MAX_LINE_ENTRIES,
         max_bytes: int = MAX_LINE_BYTES,
     ) -> None:
-        self._order = order
+        self._order_of = order_of
         self._max_entries = max_entries
         self._max_bytes = max_bytes
         self._priorities: dict[int, _PriorityLine] = {}
@@ -259,11 +262,13 @@
             self.remove(displaced)
         priority_line = self._priorities.get(waiter.priority)
         if priority_line is None:
-            priority_line = self._priorities[waiter.priority] = _PriorityLine()
+            priority_line = self._priorities[waiter.priority] = _PriorityLine(
+                self._order_of(waiter.priority)
+            )
         waiter.is_waiting = True
         self._count += 1
         self.size_bytes += waiter.size_bytes
-        priority_line.add(waiter, self._order)
+        priority_line.add(waiter)
         return displaced
 
     def remove(self, waiter: Waiter) -> None:
@@ -283,7 +288,7 @@
         if not self._count:
             return None
         priority = self._next_priority()
-        waiter = self._priorities[priority].first(self._order)
+        waiter = self._priorities[priority].first()
         for other, priority_line in self._priorities.items():
             if other > priority:
                 priority_line.passed_over += 1
--- a/src/crankseam/serving/fair_order.py
+++ b/src/crankseam/serving/fair_order.py
@@ -5,6 +5,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Protocol
 
 
@@ -24,6 +25,10 @@
         """
 
 
+OrderLookup = Callable[[str, int], FairOrder]
+"""Returns the order of the requests that wait for a service with a priority."""
+
+
 class ArrivalOrder:
     """Implementation of FairOrder that treats all requests alike: they go in order of arrival."""
 
@@ -33,3 +38,8 @@
 
     def charge(self, tenant: str, work_s: float) -> None:
         """See FairOrder."""
+
+
+def order_of_arrival(_service: str, _priority: int) -> FairOrder:
+    """Return the order of lines whose tenants are all treated alike; see OrderLookup."""
+    return ArrivalOrder()
--- a/tests/overload/rig.py
+++ b/tests/overload/rig.py
@@ -7,6 +7,7 @@
 from crankseam.overload.gate import OverloadGate
 from crankseam.overload.messages import GateClocks, GateRequest
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
+from crankseam.serving.fair_order import ArrivalOrder
 from crankseam.serving.messages import InboundRequest
 from crankseam.serving.routes import RequestKind, Route, Share
 from tests.support.virtual_clock import VirtualClockLoop
@@ -52,6 +53,9 @@
         self._logger.setLevel(self._level)
 
 
+ARRIVAL_ORDER = ArrivalOrder()
+
+
 class Rig:
     """A gate with some back ends; all times are in virtual seconds since its start."""
 
@@ -64,7 +68,11 @@
             self.add_back_end(f"b{number}")
         clocks = GateClocks(self.boottime_s, self.loop.time)
         self.gate = OverloadGate(
-            self.registry, contention or Contended(), order, clocks, random.Random(1)
+            self.registry,
+            contention or Contended(),
+            lambda _service, _priority: order or ARRIVAL_ORDER,
+            clocks,
+            random.Random(1),
         )
 
     def boottime_s(self):
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -231,7 +231,7 @@
     """One that is only taken from the line would be held until its caller gives up."""
     rig = Rig(slots=1)
     permit = await rig.gate.enter(rig.request())
-    rig.state.line = WaitingLine(ArrivalOrder(), max_entries=2)
+    rig.state.line = WaitingLine(lambda _priority: ArrivalOrder(), max_entries=2)
     large = [rig.enter(f"q{number}", tenant="large") for number in range(2)]
     await settle()
     small = rig.enter("small", tenant="small")
--- a/tests/overload/test_gate_machine.py
+++ b/tests/overload/test_gate_machine.py
@@ -99,7 +99,9 @@
 
 async def play(steps):
     rig, callers = Rig(back_ends=2, slots=1), []
-    rig.gate._current_state("svc").line = WaitingLine(ArrivalOrder(), max_entries=2)
+    rig.gate._current_state("svc").line = WaitingLine(
+        lambda _priority: ArrivalOrder(), max_entries=2
+    )
     for number, (kind, *values) in enumerate(steps):
         if kind == "arrive":
             callers.append(Caller(rig, number, *values))
--- a/tests/overload/test_line.py
+++ b/tests/overload/test_line.py
@@ -43,7 +43,7 @@
 @given(WAITERS, st.lists(st.integers(0, 59)))
 def test_within_a_priority_and_tenant_the_earliest_deadline_goes_first(entries, cancelled):
     order = WorkOrder()
-    line = WaitingLine(order)
+    line = WaitingLine(lambda _priority: order)
     waiters = [waiter(number, *entry) for number, entry in enumerate(entries)]
     for each in waiters:
         assert line.add(each) is None
@@ -61,7 +61,7 @@
 
 @given(WAITERS)
 def test_entries_and_bytes_are_bounded_and_each_newcomer_costs_at_most_one_place(entries):
-    line, inside = WaitingLine(WorkOrder(), max_entries=16, max_bytes=200), set()
+    line, inside = WaitingLine(lambda _priority: WorkOrder(), max_entries=16, max_bytes=200), set()
     for number, entry in enumerate(entries):
         newcomer = waiter(number, *entry)
         displaced = line.add(newcomer)
@@ -75,7 +75,7 @@
 
 @given(st.lists(st.integers(0, 3), min_size=2, max_size=40))
 def test_no_priority_starves(priorities):
-    line, numbers = WaitingLine(ArrivalOrder()), iter(range(10_000))
+    line, numbers = WaitingLine(lambda _priority: ArrivalOrder()), iter(range(10_000))
     for priority in priorities:
         line.add(waiter(next(numbers), priority=priority))
     passed_over = dict.fromkeys(priorities, 0)
@@ -88,7 +88,7 @@
 
 
 def test_urgent_requests_get_most_places_and_go_first():
-    line = WaitingLine(ArrivalOrder())
+    line = WaitingLine(lambda _priority: ArrivalOrder())
     for number in range(50):
         line.add(waiter(number, priority=number % 2))
     taken = [each.priority for each in take_all(line)]
@@ -98,7 +98,7 @@
 
 def test_a_burst_of_one_tenant_neither_delays_nor_displaces_a_small_one():
     order = WorkOrder()
-    line = WaitingLine(order, max_entries=100)
+    line = WaitingLine(lambda _priority: order, max_entries=100)
     for number in range(1000):
         line.add(waiter(number, "large", deadline=1.0))
     small = [waiter(1000 + number, "small", deadline=9.0) for number in range(10)]
@@ -111,7 +111,7 @@
 
 
 def test_a_less_urgent_burst_gives_room_to_urgent_requests_but_keeps_its_reserve():
-    line = WaitingLine(ArrivalOrder(), max_entries=80)
+    line = WaitingLine(lambda _priority: ArrivalOrder(), max_entries=80)
     for number in range(100):
         line.add(waiter(number, priority=7))
     for number in range(100, 300):
@@ -123,7 +123,7 @@
 
 
 def test_a_body_larger_than_the_line_displaces_nobody():
-    line = WaitingLine(ArrivalOrder(), max_bytes=100)
+    line = WaitingLine(lambda _priority: ArrivalOrder(), max_bytes=100)
     line.add(waiter(0, priority=9, size_bytes=60))
     large = waiter(1, priority=0, size_bytes=101)
     assert line.add(large) is large and len(line) == 1
@@ -132,7 +132,7 @@
 @pytest.mark.parametrize("cancel", [True, False])
 def test_cancelled_waiters_leave_no_memory_behind(cancel):
     """Removal leaves entries in the heaps; without compaction they would pile up for ever."""
-    line = WaitingLine(ArrivalOrder())
+    line = WaitingLine(lambda _priority: ArrivalOrder())
     line.add(waiter(0, deadline=-1.0))
     for number in range(1, 3000):
         each = waiter(number, deadline=float(-number))
@@ -148,7 +148,7 @@
     heappop = heapq.heappop
     monkeypatch.setattr(heapq, "heappop", lambda heap: pops.append(1) or heappop(heap))
     order = WorkOrder()
-    line = WaitingLine(order, max_entries=5000)
+    line = WaitingLine(lambda _priority: order, max_entries=5000)
     for number in range(5000):
         line.add(waiter(number, f"t{number % 10}", deadline=float(number * 7919 % 5000)))
     assert len(list(take_all(line, order))) == 5000
@@ -163,7 +163,7 @@
             Restless.calls += 1
             return float(Restless.calls)
 
-    line = WaitingLine(Restless())
+    line = WaitingLine(lambda _priority: Restless())
     for number in range(6):
         line.add(waiter(number, tenant=f"t{number % 3}"))
     assert len(list(take_all(line))) == 6
