Group plan: which groups of a step to finish, and in which order

Symptom: on a crowded fleet all groups of a step were whole within its last second, after the due time (docs/design/15-load.md). Cause: items are ranked by length alone; `desired` and the groups play no part before the listing. Tests name the load; Hypothesis for sizes, order and monotony. Measured: tests/jobs/test_group_plan.py passes.

--- /dev/null
+++ b/tests/jobs/test_group_plan.py
@@ -0,0 +1,142 @@
+"""Plan of groups: a step that cannot be whole, one very long item a group, and scarce places.
+
+The load is a step whose groups wait for fewer places than they need. It guards against all groups
+becoming whole together and after the due time, which happens if their items are served without
+regard to their groups.
+"""
+
+import math
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from crankseam.jobs.group_plan import (
+    BEGUN_WORK_FACTOR,
+    LENGTH_ERROR_FRACTION,
+    GroupClass,
+    GroupWork,
+    plan_groups,
+)
+
+GROUP_WORK = st.builds(
+    GroupWork,
+    name=st.just(""),
+    work_s=st.floats(0.1, 50.0),
+    critical_path_s=st.floats(0.1, 10.0),
+    has_begun=st.booleans(),
+    waits=st.booleans(),
+    is_lost=st.booleans(),
+)
+GROUPS = st.lists(GROUP_WORK, max_size=30).map(
+    lambda groups: [
+        GroupWork(
+            f"g{number}", one.work_s, one.critical_path_s, one.has_begun, one.waits, one.is_lost
+        )
+        for number, one in enumerate(groups)
+    ]
+)
+TIME_LEFT = st.one_of(st.floats(-5.0, 20.0), st.just(math.inf))
+
+
+def equal_groups(count, work_s=8.0, critical_path_s=1.0, **changes):
+    return [GroupWork(f"g{n}", work_s, critical_path_s, **changes) for n in range(count)]
+
+
+def test_the_groups_that_need_the_least_are_chosen_as_many_as_the_trainer_waits_for():
+    groups = [GroupWork(f"g{work}", float(work), 1.0) for work in (9, 3, 5)]
+    plan = plan_groups(groups, needed=2, time_left_s=7.0)
+    assert plan.names(GroupClass.CHOSEN) == ("g3", "g5")
+    assert plan.names(GroupClass.BEYOND) == ("g9",)
+    assert plan.tightest_slack_s() == 6.0 and plan.work_s() == 8.0
+
+
+def test_where_half_of_the_groups_can_be_whole_only_these_are_chosen():
+    # Six groups of 8 s at 6 places end within 4 s, if items need the shortest likely seconds.
+    time_left_s = 4.0 * (1.0 - LENGTH_ERROR_FRACTION)
+    plan = plan_groups(equal_groups(6), 6, time_left_s, places=6)
+    assert plan.names(GroupClass.CHOSEN) == ("g0", "g1", "g2")
+    assert plan.names(GroupClass.LATE) == ("g3", "g4", "g5"), "the trainer waits for them"
+
+
+def test_a_step_that_cannot_be_whole_in_time_goes_on_with_the_least_remaining_work():
+    groups = [GroupWork(f"g{work}", float(work), 5.0) for work in (9, 3, 5)]
+    plan = plan_groups(groups, needed=2, time_left_s=1.0)
+    assert [group.name for group in plan.groups] == ["g3", "g5", "g9"]
+    assert plan.names(GroupClass.LATE) == ("g3", "g5")
+    assert plan.names(GroupClass.INFEASIBLE) == ("g9",)
+    assert plan.tightest_slack_s() == math.inf
+
+
+def test_a_group_whose_very_long_item_may_just_fit_is_not_taken_for_late():
+    groups = equal_groups(3, critical_path_s=10.0)
+    time_left_s = 10.0 * (1.0 - LENGTH_ERROR_FRACTION)
+    assert plan_groups(groups, 3, time_left_s).names(GroupClass.CHOSEN) == ("g0", "g1", "g2")
+    assert not plan_groups(groups, 3, time_left_s - 0.1).names(GroupClass.CHOSEN)
+
+
+def test_a_group_that_holds_all_its_places_is_not_late_for_lack_of_places():
+    running = GroupWork("g", 20.0, 2.0, has_begun=True, waits=False)
+    assert plan_groups([running], 1, 3.0, places=1).names(GroupClass.CHOSEN) == ("g",)
+
+
+def test_a_group_that_has_begun_stays_before_one_that_needs_a_little_less():
+    begun = GroupWork("begun", 5.0, 1.0, has_begun=True)
+    other = GroupWork("other", 5.0 * BEGUN_WORK_FACTOR + 0.1, 1.0)
+    assert plan_groups([other, begun], 1, 9.0).names(GroupClass.CHOSEN) == ("begun",)
+
+
+def test_a_group_with_an_item_that_was_given_up_goes_last():
+    lost = GroupWork("lost", 0.1, 0.1, is_lost=True)
+    plan = plan_groups([lost, *equal_groups(2, critical_path_s=50.0)], 3, 1.0)
+    assert plan.names(GroupClass.LATE) == ("g0", "g1")
+    assert plan.names(GroupClass.INFEASIBLE) == ("lost",)
+
+
+@given(GROUPS, st.integers(0, 30), TIME_LEFT, st.integers(0, 20))
+def test_each_group_has_one_position_and_no_more_are_wanted_than_the_trainer_waits_for(
+    groups, needed, time_left_s, places
+):
+    plan = plan_groups(groups, needed, time_left_s, places)
+    assert sorted(group.name for group in plan.groups) == sorted(group.name for group in groups)
+    assert [group.position for group in plan.groups] == list(range(len(groups)))
+    assert [group.group_class for group in plan.groups] == sorted(
+        group.group_class for group in plan.groups
+    )
+    chosen, late = plan.names(GroupClass.CHOSEN), plan.names(GroupClass.LATE)
+    assert len(chosen) + len(late) <= needed
+    if plan.names(GroupClass.BEYOND):
+        assert len(chosen) == needed, "none is beyond while the trainer waits for more"
+    healthy = sum(not group.is_lost for group in groups)
+    assert len(chosen) + len(late) == min(needed, healthy)
+
+
+@given(GROUPS, st.integers(0, 30), TIME_LEFT, st.integers(0, 20))
+def test_a_group_with_less_work_and_the_same_longest_item_is_never_behind(
+    groups, needed, time_left_s, places
+):
+    positions = {
+        g.name: g.position for g in plan_groups(groups, needed, time_left_s, places).groups
+    }
+    for less in groups:
+        for more in groups:
+            alike = (less.critical_path_s, less.has_begun, less.waits, less.is_lost) == (
+                more.critical_path_s,
+                more.has_begun,
+                more.waits,
+                more.is_lost,
+            )
+            if alike and less.work_s < more.work_s:
+                assert positions[less.name] < positions[more.name]
+
+
+@given(GROUPS, st.integers(0, 30), TIME_LEFT, st.integers(0, 20))
+def test_the_same_knowledge_gives_the_same_plan(groups, needed, time_left_s, places):
+    plan = plan_groups(groups, needed, time_left_s, places)
+    assert plan == plan_groups(list(groups), needed, time_left_s, places)
+
+
+@pytest.mark.parametrize("needed", [0, 1])
+def test_a_job_without_unfinished_groups_has_an_empty_plan(needed):
+    plan = plan_groups([], needed, 5.0)
+    assert plan.groups == () and plan.tightest_slack_s() == math.inf and plan.work_s() == 0.0
