Item seconds: what an item still needs, by its hint and its events

Cause: only the mean seconds of a job's items were known; a plan of groups needs the remaining seconds of each. Change: `ItemSeconds.rate` gives learnt seconds per unit and units per event; `WorkRate.remaining_s` the rest of one item. What is stored (`mean_s`) is unchanged. Measured: tests/jobs/test_item_seconds.py passes.

--- a/src/crankseam/jobs/item_seconds.py
+++ b/src/crankseam/jobs/item_seconds.py
@@ -1,7 +1,8 @@
 """Estimates how long items of each model hold places at samplers, from items that have ended.
 
-Owns decaying sums of seconds and hinted tokens per model, in this process's memory. The estimate is
-stored with each accepted job, and all processes use it to divide the samplers among the models.
+Owns decaying sums of seconds, hinted tokens and events per model, in this process's memory. The
+mean is stored with each accepted job, and all processes use it to divide the samplers among the
+models. The owner of a job also estimates from them how long each of its items still needs.
 """
 
 from __future__ import annotations
@@ -14,6 +15,9 @@
 """Time constant of the decaying sums, in items: about two steps."""
 MIN_ITEMS = 8
 """Number of items of a model that must have ended before an estimate is given."""
+MIN_REMAINING_FRACTION = 0.1
+"""Fraction of its expected work that an unfinished item still needs at least, even if it has
+generated more events than its hint let expect."""
 
 
 @dataclass(slots=True)
@@ -22,16 +26,55 @@
 
     held_s: float = 0.0
     units: float = 0.0
+    events: float = 0.0
     items: int = 0
 
-    def add(self, held_s: float, units: float) -> None:
+    def add(self, held_s: float, units: float, events: int) -> None:
         kept = 1.0 - 1.0 / AVERAGING_ITEMS
         self.held_s = self.held_s * kept + held_s
         self.units = self.units * kept + units
+        self.events = self.events * kept + events
         self.items += 1
 
 
-def _work_units(item: ItemDefinition) -> int:
+@dataclass(frozen=True, slots=True)
+class WorkRate:
+    """Learnt or assumed speed of a model's items.
+
+    Attributes
+    ==========
+
+    s_per_unit : seconds for which an item holds a place per unit of work; see `work_units`.
+    units_per_event : units of work that an event stands for; 0 if unknown.
+    is_learnt : whether the rate comes from items that have ended.
+    """
+
+    s_per_unit: float
+    units_per_event: float = 0.0
+    is_learnt: bool = True
+
+    def remaining_s(self, item: ItemDefinition, events: int) -> float:
+        """Expected seconds for which an unfinished item still holds a place.
+
+        Parameters
+        ==========
+
+        events : number of events that it has generated.
+
+        Examples
+        ========
+
+        >>> item = ItemDefinition("i", "/", {}, b"", length_hint=40)
+        >>> rate = WorkRate(s_per_unit=0.1, units_per_event=2.0)
+        >>> [rate.remaining_s(item, events) for events in (0, 15, 90)]
+        [4.0, 1.0, 0.4]
+        """
+        units = work_units(item)
+        left = max(units - events * self.units_per_event, MIN_REMAINING_FRACTION * units)
+        return left * self.s_per_unit
+
+
+def work_units(item: ItemDefinition) -> int:
     """Units of work to which the seconds of an item are assumed to be proportional.
 
     These are the hinted tokens, or 1 for an item without a hint.
@@ -50,20 +93,29 @@
     def __init__(self) -> None:
         self._sums: dict[str, _Sums] = {}
 
-    def ended(self, model: str, item: ItemDefinition, held_s: float) -> None:
+    def ended(self, model: str, item: ItemDefinition, held_s: float, events: int = 0) -> None:
         """Add an item whose text is complete.
 
         Parameters
         ==========
 
         held_s : seconds for which the item held places, over all its attempts.
+        events : number of events of its text; 0 if unknown.
         """
-        self._sums.setdefault(model, _Sums()).add(held_s, _work_units(item))
+        self._sums.setdefault(model, _Sums()).add(held_s, work_units(item), events)
+
+    def rate(self, model: str) -> WorkRate | None:
+        """Rate of a model's items; None if unknown."""
+        sums = self._sums.get(model)
+        if sums is None or sums.items < MIN_ITEMS:
+            return None
+        units_per_event = sums.units / sums.events if sums.events else 0.0
+        return WorkRate(sums.held_s / sums.units, units_per_event)
 
     def mean_s(self, job: JobDefinition) -> float:
         """Expected seconds for which an item of a job holds places; 0 if unknown."""
         sums = self._sums.get(job.model)
         if sums is None or sums.items < MIN_ITEMS or not job.items:
             return 0.0
-        units = sum(_work_units(item) for item in job.items) / len(job.items)
+        units = sum(work_units(item) for item in job.items) / len(job.items)
         return units * sums.held_s / sums.units
--- a/tests/jobs/test_item_seconds.py
+++ b/tests/jobs/test_item_seconds.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from crankseam.jobs.item_seconds import MIN_ITEMS, ItemSeconds
+from crankseam.jobs.item_seconds import MIN_ITEMS, MIN_REMAINING_FRACTION, ItemSeconds
 from crankseam.jobs.model import ItemDefinition, JobDefinition
 
 
@@ -52,3 +52,20 @@
         )
     expected = 0.02 * (20 + 40 + 200) / 3
     assert item_seconds.mean_s(job([20, 40, 200])) == pytest.approx(expected, rel=0.1)
+
+
+def test_what_an_item_still_needs_falls_with_its_events_but_not_to_nothing():
+    item_seconds = ItemSeconds()
+    assert item_seconds.rate("m") is None
+    for number in range(MIN_ITEMS):
+        item_seconds.ended("m", item(number, hint=40), 2.0, events=20)
+    rate = item_seconds.rate("m")
+    left = [rate.remaining_s(item(0, hint=80), events) for events in (0, 20, 40, 400)]
+    assert left == pytest.approx([4.0, 2.0, *[4.0 * MIN_REMAINING_FRACTION] * 2])
+
+
+def test_events_that_are_unknown_do_not_count_as_progress():
+    item_seconds = ItemSeconds()
+    for number in range(MIN_ITEMS):
+        item_seconds.ended("m", item(number, hint=40), 2.0)
+    assert item_seconds.rate("m").remaining_s(item(0, hint=40), 20) == pytest.approx(2.0)
