Dispatcher: ranks may change while items wait, and less urgent jobs age

Symptom: an item's rank was fixed when its job started; a round popped and pushed all waiting requests through a heap whose comparisons are dataclass calls; a less urgent job never moved while a more urgent one wanted all places. Change: waiting requests are sorted by key (nearly sorted from round to round), ranks are read anew at most four times a second, and one place in 16 at a contended service goes to the less urgent level that waited longest (`jobs/aging.py`). Requests without an `Urgency` are ordered as before: by rank, then arrival.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -4,24 +4,45 @@
 
 Owns the queue of waiting items, and the counts of the places that this process holds at each
 sampler (`in_flight`, `runs`). Relies on the registry for the samplers. The rules are in urgency.py
-(order of the items), places.py (choice of the sampler) and migration.py (migration of runs).
+(order of the items), aging.py (exceptions from it), places.py (choice of the sampler) and
+migration.py (migration of runs).
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
 import itertools
+import time
+from dataclasses import dataclass, field
+from operator import attrgetter
 
+from crankseam.jobs.aging import AgingQuota, WaitingLevel, aged_request
 from crankseam.jobs.migration import max_pace_s
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
 from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
+from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.paces import SamplerPaces
 
 POLL_INTERVAL_S = 0.05
 """Interval at which places are assigned while items wait, because neither a new load report nor the
 end of a back end's avoidance wakes the dispatcher."""
+RANK_INTERVAL_S = 0.25
+"""Minimum time between two updates of the ranks of all waiting items; equal to the interval at
+which ranks change."""
+
+_ORDER = attrgetter("rank", "number")
+
+
+@dataclass(order=True, slots=True)
+class _Waiting(PlaceRequest):
+    """A waiting request whose rank may change."""
+
+    urgency: Urgency | None = field(default=None, compare=False)
+
+    def level(self) -> tuple[int, int] | None:
+        """See Urgency."""
+        return self.urgency.level() if self.urgency is not None else None
 
 
 class Dispatcher:
@@ -43,7 +64,9 @@
         self._memory_of = memory_of
         self._registry = registry
         self._zone = zone
-        self._waiting: list[PlaceRequest] = []
+        self._waiting: list[_Waiting] = []
+        self._aging = AgingQuota()
+        self._next_rank_at = float("-inf")
         self._request_numbers = itertools.count()
         self._wake = asyncio.Event()
         self.paces = paces if paces is not None else SamplerPaces()
@@ -62,15 +85,27 @@
             self._wake.clear()
             self._assign_places()
 
-    async def acquire(self, need: PlaceNeed, service: str, only_version: int = 0) -> BackEnd:
+    async def acquire(
+        self,
+        need: PlaceNeed,
+        service: str,
+        only_version: int = 0,
+        urgency: Urgency | None = None,
+    ) -> BackEnd:
         """Wait for a place at a sampler of a service; the caller must release it.
 
         See PlaceNeed for `need` and PlaceRequest for `only_version`.
+
+        Parameters
+        ==========
+
+        urgency : gives the rank during the wait; the rank of `need` if omitted.
         """
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._request_numbers)
-        request = PlaceRequest(need.rank, number, need, service, only_version, place)
-        heapq.heappush(self._waiting, request)
+        rank = urgency.rank() if urgency is not None else need.rank
+        request = _Waiting(rank, number, need, service, only_version, place, urgency)
+        self._waiting.append(request)
         self._wake.set()
         try:
             return await place
@@ -88,20 +123,51 @@
     def _assign_places(self) -> None:
         self._migrations.grant_all()
         round_ = AssignmentRound(self._registry, self.paces, self._zone, self._memory_of)
-        unplaced: list[PlaceRequest] = []
-        while self._waiting:
-            request = heapq.heappop(self._waiting)
+        self._update_ranks()
+        self._waiting.sort(key=_ORDER)
+        aged: set[str] = set()
+        for request in self._waiting:
             if request.place.done():
                 continue
-            back_end = round_.assign(request)
-            if back_end is None:
-                unplaced.append(request)
-                continue
-            back_end.occupy_slot()
-            if request.need.item:
-                back_end.runs[request.need.item] = request.need.size
-            request.place.set_result(back_end)
-        self._waiting = unplaced
+            if request.service not in aged and self._aging.is_due(request.service):
+                aged.add(request.service)
+                self._place_aged(round_, request)
+            if not request.place.done():
+                self._place(round_, request)
+        self._waiting = [request for request in self._waiting if not request.place.done()]
+
+    def _update_ranks(self) -> None:
+        now = time.monotonic()
+        if now < self._next_rank_at:
+            return
+        self._next_rank_at = now + RANK_INTERVAL_S
+        for request in self._waiting:
+            if request.urgency is not None:
+                request.rank = request.urgency.rank()
+
+    def _place(self, round_: AssignmentRound, request: _Waiting, by_age: bool = False) -> None:
+        """Assign a place to a request, if a suitable sampler has room."""
+        back_end = round_.assign(request)
+        if back_end is None:
+            return
+        back_end.occupy_slot()
+        if request.need.item:
+            back_end.runs[request.need.item] = request.need.size
+        request.place.set_result(back_end)
+        if request.level() is not None:
+            self._aging.granted(request.service, by_age)
+
+    def _place_aged(self, round_: AssignmentRound, first: _Waiting) -> None:
+        """Assign a place by age to a request that is less urgent than the first one."""
+        waiting = {
+            request.number: request
+            for request in self._waiting
+            if request.service == first.service and not request.place.done()
+        }
+        levels = [WaitingLevel(one.rank, one.number, one.level()) for one in waiting.values()]
+        chosen = aged_request(first.level(), levels)
+        if chosen is not None:
+            self._place(round_, waiting[chosen.number], by_age=True)
 
     def is_registered(self, back_end_id: str) -> bool:
         """Whether discovery lists a back end with this id."""
--- a/src/crankseam/jobs/routed_places.py
+++ b/src/crankseam/jobs/routed_places.py
@@ -14,6 +14,7 @@
 
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.places import PlaceNeed
+from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.routes import Route, TrafficSplitter
 
@@ -46,6 +47,7 @@
         need: PlaceNeed,
         only_version: Callable[[], int] = lambda: 0,
         reserved: BackEnd | None = None,
+        urgency: Urgency | None = None,
     ) -> AsyncGenerator[RoutedPlace, None]:
         """Wait for a place, hold it for the duration of the context, then release it.
 
@@ -58,10 +60,11 @@
             is called again during the wait, since samplers replace a version by a newer one.
         reserved : back end of a place that is already held. The place is used if the route still
             leads to the back end and the back end takes new work; otherwise it is released.
+        urgency : gives the rank during the wait; the rank of `need` if omitted.
         """
         place = self._use_reserved(reserved, find_route(), need) if reserved is not None else None
         if place is None:
-            place = await self._acquire(find_route, need, only_version)
+            place = await self._acquire(find_route, need, only_version, urgency)
         try:
             yield place
         finally:
@@ -84,6 +87,7 @@
         find_route: Callable[[], Route | None],
         need: PlaceNeed,
         only_version: Callable[[], int],
+        urgency: Urgency | None,
     ) -> RoutedPlace:
         while True:
             route = find_route()
@@ -94,7 +98,7 @@
             version = only_version()
             try:
                 async with asyncio.timeout(VERSION_CHECK_INTERVAL_S if version else None):
-                    back_end = await self._dispatcher.acquire(need, service, version)
+                    back_end = await self._dispatcher.acquire(need, service, version, urgency)
             except TimeoutError:
                 # The samplers may no longer have the version: ask for it again.
                 continue
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -2,15 +2,20 @@
 
 Inputs: the job's priority; the time at which the job started in this process (monotonic); the
 hinted output length in tokens, which is often far off; the number of events that a run has
-generated.
+generated. At a contended service also the plan of the job's groups, the expected remaining seconds
+of the item and the time at which the job's results are due; they are at most PLAN_INTERVAL_S of
+job_urgency.py old.
 Rule: items are served in ascending order of rank, that is, by priority (0 first), then by start
 time rounded down to spans of START_SPAN_S, then by descending length hint, then by position in the
-job. An item counts as long if its hint exceeds LONG_HINT_FACTOR times the median hint of its job,
-or once its run has generated LONG_RUN_EVENTS events. Items that have not started and are not long
-leave a share of each sampler's slots free; scoring requests leave half of them free.
+job. At a contended service the rank is that of `planned_rank`, and samplers are told the urgency
+by `request_priority`. An item counts as long if its hint exceeds LONG_HINT_FACTOR times the median
+hint of its job, or once its run has generated LONG_RUN_EVENTS events. Items that have not started
+and are not long leave a share of each sampler's slots free; scoring requests leave half of them
+free.
 Purpose: keeps training steps short, since a step ends with its longest item, and protects callers
-whose requests use the same back ends as scoring requests.
-Logged as: `item_sent`, `scoring_sent`.
+whose requests use the same back ends as scoring requests. Where callers compete, the groups that a
+step needs become whole one after the other.
+Logged as: `item_sent`, `scoring_sent`, `groups_planned`.
 Tested by: tests/jobs/test_urgency.py.
 """
 
@@ -18,7 +23,9 @@
 
 import math
 import statistics
+from typing import Protocol
 
+from crankseam.jobs.group_plan import LENGTH_ERROR_FRACTION, GroupClass, PlannedGroup
 from crankseam.jobs.model import ItemDefinition, JobDefinition
 
 START_SPAN_S = 2.0
@@ -40,6 +47,34 @@
 """Share of a back end's slots that scoring requests may fill. Callers' requests use the same back
 ends, and find the other half free even if many items finish at the same time."""
 
+START_MARGIN_S = 0.5
+"""An item is served before the others of its class and priority once it has to start within this
+time: about a wait for the next free place, and one resumption elsewhere."""
+LOWEST_REQUEST_PRIORITY = 9
+"""Least urgent priority that samplers know; 0 is the most urgent."""
+LATE_REQUEST_PRIORITY = 8
+"""Samplers take late items after those that can be in time, but before those that no trainer waits
+for."""
+
+
+class Urgency(Protocol):
+    """Urgency of one item, which may change while the item waits."""
+
+    def rank(self) -> tuple[float, ...]:
+        """Sort key among all waiting items of this process; the smallest is served first."""
+
+    def level(self) -> tuple[int, int] | None:
+        """Class and priority between which the aging of dispatcher.py is fair; None if none."""
+
+    def is_wanted(self) -> bool:
+        """Whether the trainer waits for the item."""
+
+    def request_priority(self) -> int | None:
+        """Priority that a sampler is told; None if it is told none."""
+
+    def holds_place(self, holds: bool) -> None:
+        """Record whether the item holds a place at a sampler."""
+
 
 def item_rank(
     job: JobDefinition, started_at: float, item: ItemDefinition, index: int
@@ -56,6 +91,77 @@
     return (float(job.priority), start_span, -float(item.length_hint), float(index))
 
 
+def must_start(remaining_s: float, due_at: float, now: float) -> bool:
+    """Whether an item may miss its due time unless it starts now.
+
+    Parameters
+    ==========
+
+    remaining_s : expected seconds that the item still needs, including its scoring.
+    due_at, now : monotonic times.
+
+    Examples
+    ========
+
+    >>> must_start(6.5, due_at=7.5, now=0.0), must_start(1.3, due_at=7.5, now=0.0)
+    (True, False)
+    """
+    return now + remaining_s * (1.0 + LENGTH_ERROR_FRACTION) + START_MARGIN_S >= due_at
+
+
+def planned_rank(
+    job: JobDefinition,
+    group: PlannedGroup,
+    fair_start: float,
+    started_at: float,
+    due_at: float,
+    now: float,
+    remaining_s: float,
+    index: int,
+) -> tuple[float, ...]:
+    """Sort key of an item at a contended service.
+
+    The order is: class of the group; priority; fair order of tenants; in the class of chosen
+    groups, the items that must start now, by their latest start; then earlier jobs, groups in the
+    order of the plan, and the items that need the longest first.
+
+    Parameters
+    ==========
+
+    fair_start : see FairOrder.start_of.
+    remaining_s : expected seconds that the item still needs, including its scoring.
+    """
+    is_chosen = group.group_class is GroupClass.CHOSEN
+    if is_chosen and must_start(remaining_s, due_at, now):
+        order = (0.0, due_at - remaining_s, 0.0)
+    else:
+        order = (1.0, started_at // START_SPAN_S, float(group.position))
+    return (
+        float(group.group_class),
+        float(job.priority),
+        fair_start,
+        *order,
+        -remaining_s,
+        float(index),
+    )
+
+
+def request_priority(priority: int, group_class: GroupClass) -> int:
+    """Priority of a request at a sampler, from the job's priority and the class of its group.
+
+    Examples
+    ========
+
+    >>> [request_priority(3, group_class) for group_class in GroupClass]
+    [3, 8, 9, 9]
+    """
+    if group_class is GroupClass.CHOSEN:
+        return max(0, min(priority, LOWEST_REQUEST_PRIORITY))
+    if group_class is GroupClass.LATE:
+        return min(max(priority, LATE_REQUEST_PRIORITY), LOWEST_REQUEST_PRIORITY)
+    return LOWEST_REQUEST_PRIORITY
+
+
 def long_hint_threshold(job: JobDefinition) -> float:
     """Length hint, in tokens, above which an item of a job is expected to be long.
 
--- a/tests/jobs/factories.py
+++ b/tests/jobs/factories.py
@@ -47,6 +47,28 @@
     return registry
 
 
+class FixedUrgency:
+    """Urgency of an item whose rank does not change."""
+
+    def __init__(self, rank, level=None, wanted=True, priority=None):
+        self._rank, self._level, self._wanted, self._priority = rank, level, wanted, priority
+
+    def rank(self):
+        return self._rank
+
+    def level(self):
+        return self._level
+
+    def is_wanted(self):
+        return self._wanted
+
+    def request_priority(self):
+        return self._priority
+
+    def holds_place(self, holds):
+        pass
+
+
 class ScriptedSamplers:
     """A generation client that plays scripts: each attempt consumes the next script.
 
@@ -62,7 +84,7 @@
         self.hold = None
         """If set, an asyncio event for which each attempt without a script waits after event 2."""
 
-    async def generate(self, back_end, job, item, after, limit):
+    async def generate(self, back_end, job, item, after, limit, priority=None):
         self.attempts.append((back_end.record.id, item.id, after))
         if self.scripts:
             for step in self.scripts.pop(0):
@@ -92,7 +114,7 @@
         self.calls = []
         """Ids of the back end and of the scoring request of each call."""
 
-    async def score(self, back_end, request, deadline):
+    async def score(self, back_end, request, deadline, priority=None):
         self.calls.append((back_end.record.id, request.id))
         step = self.scripts.pop(0) if self.scripts else f"stamp {len(self.calls)}"
         if isinstance(step, Exception):
@@ -123,7 +145,7 @@
         TrafficSplitter(),
         guard or make_guard(make_registry()),
     )
-    return ItemRun(job, job.items[0], (0.0,), parts, kept or PartialText())
+    return ItemRun(job, job.items[0], FixedUrgency((0.0,)), parts, kept or PartialText())
 
 
 def events(first, last, version=1):
--- a/tests/jobs/test_dispatcher.py
+++ b/tests/jobs/test_dispatcher.py
@@ -1,11 +1,12 @@
 import asyncio
 
+from crankseam.jobs.aging import AGED_PLACE_INTERVAL
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.places import PlaceNeed
 from crankseam.serving.back_ends import BackEndRecord, BackEndRegistry
 from crankseam.serving.engine_memory import EngineMemory, RunSize
 from crankseam.serving.paces import SamplerPaces
-from tests.jobs.factories import make_registry
+from tests.jobs.factories import FixedUrgency, make_registry
 from tests.support.waiting import eventually
 
 
@@ -144,3 +145,65 @@
     fast.runs.clear()
     dispatcher.request_migration(request, slow, need)
     assert request.granted is fast and fast.runs["b"] == RunSize(250, 30)
+
+
+class ChangingUrgency(FixedUrgency):
+    """Urgency whose rank a test sets anew."""
+
+    def set_rank(self, rank):
+        self._rank = rank
+
+
+async def test_an_item_that_became_more_urgent_while_it_waited_goes_first(monkeypatch):
+    """Load: more items than places; guards against ranks that stay as they were on arrival."""
+    monkeypatch.setattr("crankseam.jobs.dispatcher.RANK_INTERVAL_S", 0.0)
+    registry = make_registry(count=1)
+    (only,) = registry.of_service("llm")
+    only.in_flight = 4
+    dispatcher = Dispatcher(registry, "z")
+    urgencies = [ChangingUrgency((float(number),)) for number in range(3)]
+    waiting = [
+        asyncio.create_task(dispatcher.acquire(PlaceNeed((0.0,)), "llm", urgency=urgency))
+        for urgency in urgencies
+    ]
+    await asyncio.sleep(0)
+    dispatcher._assign_places()
+    urgencies[2].set_rank((-1.0,))
+    dispatcher.release(only)
+    dispatcher._assign_places()
+    await asyncio.sleep(0)
+    assert [task.done() for task in waiting] == [False, False, True]
+    for task in waiting:
+        task.cancel()
+
+
+async def places_by_level(levels, grants):
+    """Levels to which places go, one place at a time, where as many requests of each wait."""
+    registry = make_registry(count=1)
+    (only,) = registry.of_service("llm")
+    dispatcher = Dispatcher(registry, "z")
+    waiting = {}
+    for number in range(grants):
+        for level in levels:
+            urgency = FixedUrgency((float(level[1]), float(number)), level)
+            request = dispatcher.acquire(PlaceNeed((0.0,)), "llm", urgency=urgency)
+            waiting[asyncio.create_task(request)] = level
+    await asyncio.sleep(0)
+    order = []
+    for _ in range(grants):
+        only.in_flight = 3
+        dispatcher._assign_places()
+        await asyncio.sleep(0)
+        (granted,) = [task for task in waiting if task.done()]
+        order.append(waiting.pop(granted))
+    for task in waiting:
+        task.cancel()
+    return order
+
+
+async def test_while_urgent_items_keep_coming_one_place_in_an_interval_goes_to_the_others():
+    """Load: a job of low priority beside urgent ones that want all places; it must not starve."""
+    urgent, other = (0, 0), (0, 7)
+    order = await places_by_level([urgent, other], 3 * AGED_PLACE_INTERVAL)
+    assert order.count(other) == 3
+    assert order.index(other) == AGED_PLACE_INTERVAL - 1
--- a/tests/jobs/test_urgency.py
+++ b/tests/jobs/test_urgency.py
@@ -5,14 +5,18 @@
 import msgspec
 import pytest
 
+from crankseam.jobs.group_plan import LENGTH_ERROR_FRACTION, GroupClass
 from crankseam.jobs.urgency import (
     LONG_HINT_FACTOR,
     LONG_RUN_EVENTS,
     NEW_ITEM_SLOTS_SHARE,
+    START_MARGIN_S,
     START_SPAN_S,
     is_long_run,
     item_rank,
     long_hint_threshold,
+    must_start,
+    request_priority,
     slots_share,
 )
 from tests.jobs.factories import make_job
@@ -64,3 +68,21 @@
 )
 def test_items_that_have_not_begun_leave_slots_free_unless_they_are_long(has_begun, is_long, share):
     assert slots_share(has_begun, is_long) == share
+
+
+def test_samplers_are_told_a_priority_that_they_know():
+    assert [request_priority(priority, GroupClass.CHOSEN) for priority in (-1, 0, 5, 12)] == [
+        0,
+        0,
+        5,
+        9,
+    ]
+    assert request_priority(9, GroupClass.LATE) == 9
+    assert request_priority(0, GroupClass.LATE) < request_priority(0, GroupClass.BEYOND)
+
+
+def test_an_item_must_start_a_margin_before_it_would_be_late_by_its_longest_likely_length():
+    latest = 10.0 - 2.0 * (1.0 + LENGTH_ERROR_FRACTION) - START_MARGIN_S
+    assert must_start(2.0, due_at=10.0, now=latest)
+    assert not must_start(2.0, due_at=10.0, now=latest - 0.01)
+    assert not must_start(2.0, due_at=math.inf, now=1e6)
