Contended services: items are ranked by the plan of their job's groups

Symptom: all groups of a step became whole together and late; scores of short texts with seconds left went before the score that a group waited for. Cause: ranks came from the job alone and never changed. Change: `jobs/job_urgency.py` plans a job's groups at most four times a second where `Contention` says so; ranks of items and scoring requests, the class told to samplers (`Request-Priority`) and whether a run competes for the fastest samplers follow from the plan. Elsewhere ranks stay as they were. Event `groups_planned` (golden list of events rewritten for this new event). Changes to test support: `make_run` passes an urgency instead of a rank, scripted clients take the new argument.

--- a/src/crankseam/jobs/item_maker.py
+++ b/src/crankseam/jobs/item_maker.py
@@ -14,8 +14,10 @@
 from crankseam.jobs.item_retry import DEFAULT_ITEM_TIMEOUT_S, DEFAULT_MAX_ATTEMPTS
 from crankseam.jobs.item_run import ItemRun, RunComponents, unscored_result
 from crankseam.jobs.item_seconds import ItemSeconds
+from crankseam.jobs.job_urgency import UrgencySources
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.scoring import ItemScorer
+from crankseam.jobs.urgency import Urgency
 
 
 class ItemMaker:
@@ -44,11 +46,26 @@
         route = self._find_route(job)
         return route.due_s if route is not None else math.inf
 
+    def urgency_sources(self) -> UrgencySources:
+        """What the urgency of this process's items depends on, besides their job."""
+        return UrgencySources(
+            self._is_contended, self.item_seconds, self._scoring_s, self._parts.fair_order
+        )
+
+    def _is_contended(self, job: JobDefinition) -> bool:
+        route = self._find_route(job)
+        if route is None:
+            return False
+        return any(self._parts.contention.is_contended(share.service) for share in route.shares)
+
+    def _scoring_s(self, item: ItemDefinition) -> float:
+        return self._scorer.expected_s(item.scoring) if item.scoring is not None else 0.0
+
     async def make(
         self,
         job: JobDefinition,
         item: ItemDefinition,
-        rank: tuple[float, ...],
+        urgency: Urgency,
         kept: PartialText,
         is_long: bool,
     ) -> ItemResult:
@@ -57,19 +74,19 @@
         Parameters
         ==========
 
-        rank : sort key among all waiting items of this process; the smallest is served first.
+        urgency : urgency of the item among all waiting items of this process.
         kept : text generated so far, which is extended in place.
         is_long : whether the item is expected to be among its job's longest.
         """
         if kept.whole:
             result = unscored_result(item, kept)
         else:
-            result = await self._run_item(ItemRun(job, item, rank, self._parts, kept, is_long))
+            result = await self._run_item(ItemRun(job, item, urgency, self._parts, kept, is_long))
         if not result.completed or item.scoring is None:
             return result
         route = self._find_route(job)
         attempts = route.max_attempts if route is not None else DEFAULT_MAX_ATTEMPTS
-        score = await self._scorer.score(job, item, item.scoring, rank, attempts)
+        score = await self._scorer.score(job, item, item.scoring, urgency, attempts)
         if score is None:
             return ItemResult(item.id, False)
         return msgspec.structs.replace(result, score=score)
@@ -79,5 +96,6 @@
         was_resumed = bool(run.kept.events)
         result = await run.run()
         if result.completed and not was_resumed:
-            self.item_seconds.ended(run.job.model, run.item, run.held_s)
+            events = len(run.kept.events)
+            self.item_seconds.ended(run.job.model, run.item, run.held_s, events)
         return result
--- a/src/crankseam/jobs/result_listing.py
+++ b/src/crankseam/jobs/result_listing.py
@@ -72,6 +72,7 @@
         self.results: list[ItemResult] = [result for chunk in listed for result in chunk]
         self._listed_ids = {result.id for result in self.results}
         self._finished_ids: set[str] = set()
+        self._lost_ids = {result.id for result in self.results if not result.completed}
         self._pending: list[ItemResult] = []
         self._item_ids = {item.id for item in job.items}
         self._group_by_item = {item.id: item.group for item in job.items}
@@ -91,6 +92,10 @@
         """Whether an item has its result, listed or pending."""
         return item_id in self._listed_ids or item_id in self._finished_ids
 
+    def is_lost(self, item_id: str) -> bool:
+        """Whether an item's result, listed or pending, says that the item was given up."""
+        return item_id in self._lost_ids
+
     def is_complete(self) -> bool:
         """Whether the results of all items are listed."""
         return len(self._listed_ids) >= len(self._item_ids)
@@ -132,6 +137,8 @@
     def finish(self, result: ItemResult) -> None:
         """Add a finished item's result, to be listed as the schedule says."""
         self._finished_ids.add(result.id)
+        if not result.completed:
+            self._lost_ids.add(result.id)
         self._pending.append(result)
         self._schedule.finished(self._group_by_item[result.id])
 
@@ -207,6 +214,10 @@
         self.results += chunk
         for result in chunk:
             self._listed_ids.add(result.id)
+            if result.completed:
+                self._lost_ids.discard(result.id)
+            else:
+                self._lost_ids.add(result.id)
             self._on_listed(result.id)
         log.info(
             "results_listed",
--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -2,7 +2,7 @@
 
 Runs a task for each item without a result, and periodically saves the partial texts, so that
 another process can resume them. ItemMaker produces each item's result, ResultListing lists it in
-the store, and urgency.py ranks the items.
+the store, and JobUrgency ranks the items.
 """
 
 from __future__ import annotations
@@ -15,10 +15,11 @@
 from crankseam.jobs.earlier_outputs import JobOutputs
 from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.item_retry import give_up_at
+from crankseam.jobs.job_urgency import JobUrgency
 from crankseam.jobs.model import ItemDefinition, ItemResult, JobDefinition, PartialText
 from crankseam.jobs.repository import JobRepository
 from crankseam.jobs.result_listing import ResultListing
-from crankseam.jobs.urgency import item_rank, long_hint_threshold
+from crankseam.jobs.urgency import long_hint_threshold
 
 log = logging.getLogger(__name__)
 
@@ -59,6 +60,9 @@
         self._saved_event_count = 0
         due_at = self._started_at + maker.due_s(job)
         self.listing = ResultListing(job, listed, due_at, repository, self._cancel_item)
+        self._urgency = JobUrgency(
+            job, self._started_at, due_at, maker.urgency_sources(), self._texts, self.listing
+        )
         self._item_tasks: dict[str, asyncio.Task[None]] = {}
         for result in finished:
             if not self.listing.is_listed(result.id):
@@ -112,12 +116,13 @@
         self.listing.finish(result)
 
     async def _make_result(self, index: int, item: ItemDefinition) -> ItemResult:
-        rank = item_rank(self.job, self._started_at, item, index)
+        urgency = self._urgency.of_item(index)
         is_long = item.length_hint > self._long_hint_threshold
         end_at = give_up_at(self._started_at, self._maker.item_timeout_s(self.job))
         try:
             async with asyncio.timeout(end_at - time.monotonic()):
-                return await self._maker.make(self.job, item, rank, self._texts[item.id], is_long)
+                text = self._texts[item.id]
+                return await self._maker.make(self.job, item, urgency, text, is_long)
         except TimeoutError:
             log.warning("item_given_up", extra={"job": self.job.id, "item": item.id})
             return ItemResult(item.id, False)
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -30,7 +30,7 @@
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.routed_places import RoutedPlaces
 from crankseam.jobs.send_outcome import record_send_outcome
-from crankseam.jobs.urgency import SCORING_SLOTS_SHARE
+from crankseam.jobs.urgency import SCORING_SLOTS_SHARE, Urgency
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import DEFAULT_CRASH_LIMIT
 from crankseam.quarantine.model import RequestIdentity
@@ -47,12 +47,19 @@
 class ScoringClient(Protocol):
     """Sends scoring requests to back ends."""
 
-    async def score(self, back_end: BackEnd, request: ScoringRequest, deadline: float) -> str:
+    async def score(
+        self,
+        back_end: BackEnd,
+        request: ScoringRequest,
+        deadline: float,
+        priority: int | None = None,
+    ) -> str:
         """Send a scoring request and return the signature of the answer.
 
         Args:
             deadline: time at which the back end is to stop its work, on the clock of
                 `clocks.boottime_s`.
+            priority: urgency that the back end is told; None for none.
 
         Raises:
             AttemptNotRun, AttemptBroken, ScoringFailed
@@ -94,7 +101,7 @@
         job: JobDefinition,
         item: ItemDefinition,
         request: ScoringRequest,
-        rank: tuple[float, ...],
+        urgency: Urgency,
         job_attempts: int,
     ) -> str | None:
         """The score of an item; None if its scoring request failed too often.
@@ -102,28 +109,36 @@
         Parameters
         ==========
 
-        rank : sort key among all waiting items; the smallest is served first.
+        urgency : urgency of the item.
         job_attempts : `max_attempts` of the job's route; the route of the scoring request may allow
             more.
         """
         run = _ScoringRun(self._client, self._guard, job, item, request)
         try:
-            return await self._try_until_scored(run, request, rank, job_attempts)
+            return await self._try_until_scored(run, request, urgency, job_attempts)
         finally:
             run.tracker.abandon()
 
+    def expected_s(self, request: ScoringRequest) -> float:
+        """Seconds after which a scoring request that found a place is expected to be answered."""
+        route = self._find_route(request)
+        return route.target_latency_s if route is not None else 0.0
+
     async def _try_until_scored(
         self,
         run: _ScoringRun,
         request: ScoringRequest,
-        rank: tuple[float, ...],
+        urgency: Urgency,
         job_attempts: int,
     ) -> str | None:
         while True:
             await run.tracker.wait_until_admitted()
-            need = PlaceNeed(rank, avoided=run.avoided, slots_share=SCORING_SLOTS_SHARE)
-            async with self._places.hold(partial(self._find_route, request), need) as place:
-                score = await run.attempt(place.route, place.back_end)
+            need = PlaceNeed(urgency.rank(), avoided=run.avoided, slots_share=SCORING_SLOTS_SHARE)
+            async with self._places.hold(
+                partial(self._find_route, request), need, urgency=urgency
+            ) as place:
+                priority = urgency.request_priority()
+                score = await run.attempt(place.route, place.back_end, priority)
             if score is not None:
                 return score
             if run.should_give_up(max_scoring_failures(place.route, job_attempts), place.back_end):
@@ -155,7 +170,9 @@
         """Id of the back end to which the last attempt was sent; empty before the first one."""
         self.backoff = Backoff(SCORING_RETRY_BASE_S, SCORING_RETRY_CAP_S)
 
-    async def attempt(self, route: Route, back_end: BackEnd) -> str | None:
+    async def attempt(
+        self, route: Route, back_end: BackEnd, priority: int | None = None
+    ) -> str | None:
         """Send the request once; None if the attempt gave no score."""
         timeout_s = scoring_timeout_s(route, self._timeouts)
         self.avoided = back_end.record.id
@@ -164,7 +181,7 @@
             async with asyncio.timeout(timeout_s):
                 with self.tracker.sending() as send:
                     deadline = clocks.boottime_s() + timeout_s
-                    call = self._client.score(back_end, self._request, deadline)
+                    call = self._client.score(back_end, self._request, deadline, priority)
                     score = await record_send_outcome(self._guard, send, back_end, call)
         except AttemptNotRun as refusal:
             back_end.record_rejection(SCORING_REJECTED_BACKOFF_S)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -256,6 +256,25 @@
     "item_task_failed": LogEvent(
         "The program failed with an internal error; the item is restarted.", ("job", "item")
     ),
+    "groups_planned": LogEvent(
+        "At a contended service, the groups of a job were sorted into those to finish first"
+        " (`chosen`), those that will be late (`late`) and those that are not needed (`beyond`,"
+        " `infeasible`: not whole in time), each in the order in which they are served;"
+        " `time_left_s` is the time until the results are due, `slack_s` the least slack of a"
+        " chosen group (null if unknown), `work_s` the remaining work of the chosen ones,"
+        " `places` the number of places that the job's items hold.",
+        (
+            "job",
+            "chosen",
+            "late",
+            "beyond",
+            "infeasible",
+            "time_left_s",
+            "slack_s",
+            "work_s",
+            "places",
+        ),
+    ),
     # --- scores of items
     "scoring_sent": LogEvent(
         "The text of an item is complete; a back end is asked for its score.",
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -8,11 +8,13 @@
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.model import PartialText
 from crankseam.jobs.places import PlaceNeed
+from crankseam.jobs.urgency import LONG_RUN_EVENTS
 from crankseam.serving.engine_memory import RunSize
 from crankseam.serving.messages import AttemptNotRun
 from crankseam.serving.paces import SamplerPaces
 from tests.jobs.factories import (
     BROKEN,
+    FixedUrgency,
     ScriptedSamplers,
     events,
     make_job,
@@ -281,3 +283,13 @@
     finally:
         running.cancel()
         task.cancel()
+
+
+@pytest.mark.parametrize("is_wanted", [True, False])
+async def test_a_run_that_no_trainer_waits_for_does_not_compete_for_the_fastest_samplers(is_wanted):
+    """Load: long runs of groups beyond those that the trainer waits for."""
+    run = make_run(Dispatcher(make_registry(), "z"), ScriptedSamplers())
+    run._urgency = FixedUrgency((0.0,), wanted=is_wanted)
+    run.kept.events.extend("x" * LONG_RUN_EVENTS)
+    need = run._need()
+    assert need.is_long == is_wanted and need.slots_share == 1.0
