Item seconds: the start of short items no longer passes for the pace of long ones

Cause: seconds per hinted token, learnt from the short items that end first, hold each item's start too. Change: a line through seconds and events of the ended items; hints give the likely events. Measured: tests/jobs/test_item_seconds.py passes.

--- a/src/crankseam/jobs/item_seconds.py
+++ b/src/crankseam/jobs/item_seconds.py
@@ -2,7 +2,9 @@
 
 Owns decaying sums of seconds, hinted tokens and events per model, in this process's memory. The
 mean is stored with each accepted job, and all processes use it to divide the samplers among the
-models. The owner of a job also estimates from them how long each of its items still needs.
+models. The owner of a job also estimates from them how long each of its items still needs: the
+hint tells the likely number of events, and a line through seconds and events of ended items the
+seconds. Hints alone would not do: short items need more seconds per token, as each has a start.
 """
 
 from __future__ import annotations
@@ -15,6 +17,9 @@
 """Time constant of the decaying sums, in items: about two steps."""
 MIN_ITEMS = 8
 """Number of items of a model that must have ended before an estimate is given."""
+MIN_SPREAD = 0.01
+"""Least variance of the ended items' events, relative to the square of their mean, from which the
+seconds of a start are told apart from those of the events."""
 MIN_REMAINING_FRACTION = 0.1
 """Fraction of its expected work that an unfinished item still needs at least, even if it has
 generated more events than its hint let expect."""
@@ -26,16 +31,35 @@
 
     held_s: float = 0.0
     units: float = 0.0
+    weight: float = 0.0
     events: float = 0.0
+    events_squared: float = 0.0
+    events_s: float = 0.0
     items: int = 0
 
     def add(self, held_s: float, units: float, events: int) -> None:
         kept = 1.0 - 1.0 / AVERAGING_ITEMS
         self.held_s = self.held_s * kept + held_s
         self.units = self.units * kept + units
+        self.weight = self.weight * kept + 1.0
         self.events = self.events * kept + events
+        self.events_squared = self.events_squared * kept + events * events
+        self.events_s = self.events_s * kept + events * held_s
         self.items += 1
 
+    def line(self) -> tuple[float, float]:
+        """Seconds of an item's start and of each of its events, by least squares.
+
+        Neither is negative. Without a spread of events, items are taken to have no start.
+        """
+        mean_events, mean_s = self.events / self.weight, self.held_s / self.weight
+        spread = self.events_squared / self.weight - mean_events**2
+        if spread < MIN_SPREAD * mean_events**2:
+            return (0.0, mean_s / mean_events)
+        per_event_s = (self.events_s / self.weight - mean_events * mean_s) / spread
+        per_event_s = min(max(per_event_s, 0.0), mean_s / mean_events)
+        return (mean_s - per_event_s * mean_events, per_event_s)
+
 
 @dataclass(frozen=True, slots=True)
 class WorkRate:
@@ -46,11 +70,13 @@
 
     s_per_unit : seconds for which an item holds a place per unit of work; see `work_units`.
     units_per_event : units of work that an event stands for; 0 if unknown.
+    start_s : seconds for which an item holds a place before its first event.
     is_learnt : whether the rate comes from items that have ended.
     """
 
     s_per_unit: float
     units_per_event: float = 0.0
+    start_s: float = 0.0
     is_learnt: bool = True
 
     def remaining_s(self, item: ItemDefinition, events: int) -> float:
@@ -65,13 +91,14 @@
         ========
 
         >>> item = ItemDefinition("i", "/", {}, b"", length_hint=40)
-        >>> rate = WorkRate(s_per_unit=0.1, units_per_event=2.0)
+        >>> rate = WorkRate(s_per_unit=0.1, units_per_event=2.0, start_s=0.5)
         >>> [rate.remaining_s(item, events) for events in (0, 15, 90)]
-        [4.0, 1.0, 0.4]
+        [4.5, 1.0, 0.4]
         """
         units = work_units(item)
         left = max(units - events * self.units_per_event, MIN_REMAINING_FRACTION * units)
-        return left * self.s_per_unit
+        start_s = 0.0 if events else self.start_s
+        return start_s + left * self.s_per_unit
 
 
 def work_units(item: ItemDefinition) -> int:
@@ -109,8 +136,11 @@
         sums = self._sums.get(model)
         if sums is None or sums.items < MIN_ITEMS:
             return None
-        units_per_event = sums.units / sums.events if sums.events else 0.0
-        return WorkRate(sums.held_s / sums.units, units_per_event)
+        if not sums.events:
+            return WorkRate(sums.held_s / sums.units)
+        start_s, per_event_s = sums.line()
+        units_per_event = sums.units / sums.events
+        return WorkRate(per_event_s / units_per_event, units_per_event, start_s)
 
     def mean_s(self, job: JobDefinition) -> float:
         """Expected seconds for which an item of a job holds places; 0 if unknown."""
--- a/tests/jobs/test_item_seconds.py
+++ b/tests/jobs/test_item_seconds.py
@@ -64,6 +64,17 @@
     assert left == pytest.approx([4.0, 2.0, *[4.0 * MIN_REMAINING_FRACTION] * 2])
 
 
+def test_the_start_of_short_items_does_not_pass_for_the_pace_of_long_ones():
+    """Load: a step whose short items end first; its long ones must not be taken for late."""
+    item_seconds, generator = ItemSeconds(), random.Random(7)
+    for number in range(20):
+        events = generator.randint(4, 20)
+        hint = round(2 * events * generator.uniform(0.5, 1.5))
+        item_seconds.ended("m", item(number, hint), 0.5 + 0.05 * events, events)
+    long_s = item_seconds.rate("m").remaining_s(item(0, hint=2 * 140), 0)
+    assert long_s == pytest.approx(0.5 + 0.05 * 140, rel=0.2)
+
+
 def test_events_that_are_unknown_do_not_count_as_progress():
     item_seconds = ItemSeconds()
     for number in range(MIN_ITEMS):
