Group plan: late groups keep their priority, long items go first, places do not count

A text of 142 events waited 5.6 s (job 262343), as its group had been taken for late 1.07 s after the start, when the job held 13 places of later 21. Cause: feasibility by the places held now sinks while places are still coming; late groups were told to samplers as priority 8, and 422 runs were preempted; short items near their latest start went before the groups' order. Change: only the longest item decides whether a group can be whole; late groups keep their job's priority at samplers; only items that are long by their hint go first by their latest start.

--- a/src/crankseam/jobs/group_plan.py
+++ b/src/crankseam/jobs/group_plan.py
@@ -1,15 +1,14 @@
 """Which groups of a job to finish by its due time, and in which order.
 
 Inputs: the unfinished groups with their expected remaining work and longest remaining item; the
-number of groups that the trainer still waits for; the time left until the results are due; the
-number of places that the job's items hold now. All are known to the job's owner at the time of the
-plan.
+number of groups that the trainer still waits for; the time left until the results are due. All are
+known to the job's owner at the time of the plan.
 Rule: the groups are ordered by remaining work, least first; a group that has begun counts for
-BEGUN_WORK_FACTOR of it. A group can be whole in time if its longest item fits into the time left,
-and, if it waits for places, also the work of all groups chosen before it, at the places held now;
-both with the shortest likely lengths (LENGTH_ERROR_FRACTION). As many of these groups as the
-trainer waits for are chosen, the others are beyond. If too few can be whole in time, those with
-the least work of the rest are late: the trainer still waits for them.
+BEGUN_WORK_FACTOR of it. A group can be whole in time if its longest item fits into the time left
+with the shortest likely length (LENGTH_ERROR_FRACTION). As many of these groups as the trainer
+waits for are chosen, the others are beyond. If too few can be whole in time, those with the least
+work of the rest are late: the trainer still waits for them. How many places the job will get is
+not known, and does not matter for the order: the groups are served one after the other.
 Purpose: under scarcity as many groups as possible are whole in time, one after the other, rather
 than all of them together and late.
 Logged as: `groups_planned`.
@@ -54,7 +53,6 @@
     work_s : expected seconds of all its unfinished items, including their scoring.
     critical_path_s : expected seconds of the longest of these items.
     has_begun : whether one of its items has a text or a result.
-    waits : whether one of its items holds no place yet and needs one.
     is_lost : whether one of its items was given up, so that it never will be whole.
     """
 
@@ -62,7 +60,6 @@
     work_s: float
     critical_path_s: float
     has_begun: bool = False
-    waits: bool = True
     is_lost: bool = False
 
 
@@ -119,33 +116,21 @@
     return group.work_s * BEGUN_WORK_FACTOR if group.has_begun else group.work_s
 
 
-def can_be_whole(group: GroupWork, chosen_s: float, time_left_s: float, places: int) -> bool:
+def can_be_whole(group: GroupWork, time_left_s: float) -> bool:
     """Whether a group can be whole in time, if its items need the shortest likely seconds.
 
-    Parameters
-    ==========
-
-    chosen_s : work of the groups that are served before it.
-    places : places that the job holds now; 0 if unknown, and then only the longest item counts.
-
     Examples
     ========
 
     >>> group = GroupWork("g", work_s=6.0, critical_path_s=2.0)
-    >>> can_be_whole(group, 0.0, 3.0, 2), can_be_whole(group, 6.0, 3.0, 2)
+    >>> can_be_whole(group, 1.5), can_be_whole(group, 1.0)
     (True, False)
     """
-    if group.is_lost:
-        return False
-    needed_s = group.critical_path_s
-    if group.waits and places:
-        needed_s = max(needed_s, (chosen_s + group.work_s) / places)
-    return needed_s * (1.0 - LENGTH_ERROR_FRACTION) <= time_left_s
+    shortest_s = group.critical_path_s * (1.0 - LENGTH_ERROR_FRACTION)
+    return not group.is_lost and shortest_s <= time_left_s
 
 
-def plan_groups(
-    groups: Sequence[GroupWork], needed: int, time_left_s: float, places: int = 0
-) -> GroupPlan:
+def plan_groups(groups: Sequence[GroupWork], needed: int, time_left_s: float) -> GroupPlan:
     """Plan the unfinished groups of a job.
 
     Parameters
@@ -154,7 +139,6 @@
     groups : the unfinished groups, in the order of the job, which decides between equal ones.
     needed : number of further whole groups that the trainer waits for.
     time_left_s : seconds until the results are due; infinite if they never are.
-    places : see `can_be_whole`.
 
     Examples
     ========
@@ -167,13 +151,11 @@
     chosen: list[GroupWork] = []
     beyond: list[GroupWork] = []
     infeasible: list[GroupWork] = []
-    chosen_s = 0.0
     for group in sorted(groups, key=lambda one: (one.is_lost, counted_work_s(one))):
-        if not can_be_whole(group, chosen_s, time_left_s, places):
+        if not can_be_whole(group, time_left_s):
             infeasible.append(group)
         elif len(chosen) < needed:
             chosen.append(group)
-            chosen_s += group.work_s
         else:
             beyond.append(group)
     late = [group for group in infeasible if not group.is_lost][: max(0, needed - len(chosen))]
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -161,7 +161,6 @@
             return await self._run()
         finally:
             self._tracker.abandon()
-            self._urgency.holds_place(False)
             unused = self._end_migration()
             if unused is not None:
                 self._dispatcher.release(unused, self.item.id)
@@ -181,9 +180,7 @@
                 self._urgency,
             ) as place:
                 placed_at = time.monotonic()
-                self._urgency.holds_place(True)
                 result = await self._attempt(place.back_end, place.route)
-                self._urgency.holds_place(False)
                 self.held_s += time.monotonic() - placed_at
             if result is not None:
                 return result
--- a/src/crankseam/jobs/job_urgency.py
+++ b/src/crankseam/jobs/job_urgency.py
@@ -22,7 +22,7 @@
 from crankseam.jobs.group_plan import GroupClass, GroupPlan, GroupWork, plan_groups
 from crankseam.jobs.item_seconds import ItemSeconds, WorkRate, work_units
 from crankseam.jobs.model import ItemDefinition, JobDefinition, PartialText
-from crankseam.jobs.urgency import item_rank, planned_rank, request_priority
+from crankseam.jobs.urgency import item_rank, long_hint_threshold, planned_rank, request_priority
 from crankseam.serving.fair_order import FairOrder
 
 log = logging.getLogger(__name__)
@@ -108,10 +108,6 @@
             return None
         return request_priority(self._job_urgency.job.priority, group_class)
 
-    def holds_place(self, holds: bool) -> None:
-        """See Urgency."""
-        self._job_urgency.holds_place(self._index, holds)
-
 
 class JobUrgency:
     """The current plan and ranks of one job.
@@ -158,8 +154,8 @@
         """Indexes of the items of each group."""
         for index, item in enumerate(job.items):
             self._members.setdefault(item.group, []).append(index)
-        self._holding: set[int] = set()
-        """Indexes of the items that hold places."""
+        threshold = long_hint_threshold(job)
+        self._are_long = [item.length_hint > threshold for item in job.items]
         self._next_plan_at = float("-inf")
         self._next_log_at = float("-inf")
         self._logged = GroupPlan()
@@ -178,13 +174,6 @@
         self._plan_if_due()
         return self._classes.get(self.job.items[index].group)
 
-    def holds_place(self, index: int, holds: bool) -> None:
-        """See Urgency."""
-        if holds:
-            self._holding.add(index)
-        else:
-            self._holding.discard(index)
-
     # --- plan
 
     def _plan_if_due(self) -> None:
@@ -204,11 +193,9 @@
         remaining_s = self._remaining_s(rate)
         groups = self._unfinished_groups(remaining_s)
         time_left_s = self._due_at - now
-        if rate.is_learnt or time_left_s <= 0.0:
-            plan = plan_groups(groups, self._needed_groups(), time_left_s, len(self._holding))
-        else:
-            # An assumed rate does not tell which groups can be whole in time.
-            plan = plan_groups(groups, self._needed_groups(), math.inf)
+        # An assumed rate does not tell which groups can be whole in time.
+        is_known = rate.is_learnt or time_left_s <= 0.0
+        plan = plan_groups(groups, self._needed_groups(), time_left_s if is_known else math.inf)
         self.plan = plan
         self._classes = {group.name: group.group_class for group in plan.groups}
         self._ranks = self._planned_ranks(plan, remaining_s, now)
@@ -237,7 +224,6 @@
                     work_s=sum(seconds),
                     critical_path_s=max(seconds),
                     has_begun=len(seconds) < len(members) or self._has_text(members),
-                    waits=any(self._waits(index) for index in members if index in remaining_s),
                     is_lost=self._is_lost(members),
                 )
             )
@@ -246,9 +232,6 @@
     def _has_text(self, members: list[int]) -> bool:
         return any(self._texts[self.job.items[index].id].events for index in members)
 
-    def _waits(self, index: int) -> bool:
-        return index not in self._holding and not self._texts[self.job.items[index].id].whole
-
     def _is_lost(self, members: list[int]) -> bool:
         return any(self._results.is_lost(self.job.items[index].id) for index in members)
 
@@ -277,6 +260,7 @@
                         self._due_at,
                         now,
                         remaining_s[index],
+                        self._are_long[index],
                         index,
                     )
         return ranks
@@ -297,7 +281,6 @@
                 "time_left_s": _rounded(self._due_at - now),
                 "slack_s": _rounded(plan.tightest_slack_s()),
                 "work_s": round(plan.work_s(), 3),
-                "places": len(self._holding),
             },
         )
 
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -48,13 +48,10 @@
 ends, and find the other half free even if many items finish at the same time."""
 
 START_MARGIN_S = 0.5
-"""An item is served before the others of its class and priority once it has to start within this
-time: about a wait for the next free place, and one resumption elsewhere."""
+"""A long item is served before the others of its class and priority once it has to start within
+this time: about a wait for the next free place, and one resumption elsewhere."""
 LOWEST_REQUEST_PRIORITY = 9
 """Least urgent priority that samplers know; 0 is the most urgent."""
-LATE_REQUEST_PRIORITY = 8
-"""Samplers take late items after those that can be in time, but before those that no trainer waits
-for."""
 
 
 class Urgency(Protocol):
@@ -72,9 +69,6 @@
     def request_priority(self) -> int | None:
         """Priority that a sampler is told; None if it is told none."""
 
-    def holds_place(self, holds: bool) -> None:
-        """Record whether the item holds a place at a sampler."""
-
 
 def item_rank(
     job: JobDefinition, started_at: float, item: ItemDefinition, index: int
@@ -94,6 +88,9 @@
 def must_start(remaining_s: float, due_at: float, now: float) -> bool:
     """Whether an item may miss its due time unless it starts now.
 
+    This counts for long items only: the short ones of a step that lacks places come to this point
+    together, and would be late together if they were served by their latest start.
+
     Parameters
     ==========
 
@@ -117,22 +114,24 @@
     due_at: float,
     now: float,
     remaining_s: float,
+    is_long: bool,
     index: int,
 ) -> tuple[float, ...]:
     """Sort key of an item at a contended service.
 
     The order is: class of the group; priority; fair order of tenants; in the class of chosen
-    groups, the items that must start now, by their latest start; then earlier jobs, groups in the
-    order of the plan, and the items that need the longest first.
+    groups, the long items that must start now, by their latest start; then earlier jobs, groups in
+    the order of the plan, and the items that need the longest first.
 
     Parameters
     ==========
 
     fair_start : see FairOrder.start_of.
     remaining_s : expected seconds that the item still needs, including its scoring.
+    is_long : whether the item is expected to be long by its hint.
     """
-    is_chosen = group.group_class is GroupClass.CHOSEN
-    if is_chosen and must_start(remaining_s, due_at, now):
+    is_first = is_long and group.group_class is GroupClass.CHOSEN
+    if is_first and must_start(remaining_s, due_at, now):
         order = (0.0, due_at - remaining_s, 0.0)
     else:
         order = (1.0, started_at // START_SPAN_S, float(group.position))
@@ -149,17 +148,17 @@
 def request_priority(priority: int, group_class: GroupClass) -> int:
     """Priority of a request at a sampler, from the job's priority and the class of its group.
 
+    Late groups keep the priority of their job: its trainer waits for them.
+
     Examples
     ========
 
     >>> [request_priority(3, group_class) for group_class in GroupClass]
-    [3, 8, 9, 9]
+    [3, 3, 9, 9]
     """
-    if group_class is GroupClass.CHOSEN:
-        return max(0, min(priority, LOWEST_REQUEST_PRIORITY))
-    if group_class is GroupClass.LATE:
-        return min(max(priority, LATE_REQUEST_PRIORITY), LOWEST_REQUEST_PRIORITY)
-    return LOWEST_REQUEST_PRIORITY
+    if group_class > GroupClass.LATE:
+        return LOWEST_REQUEST_PRIORITY
+    return max(0, min(priority, LOWEST_REQUEST_PRIORITY))
 
 
 def long_hint_threshold(job: JobDefinition) -> float:
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -261,8 +261,7 @@
         " (`chosen`), those that will be late (`late`) and those that are not needed (`beyond`,"
         " `infeasible`: not whole in time), each in the order in which they are served;"
         " `time_left_s` is the time until the results are due, `slack_s` the least slack of a"
-        " chosen group (null if unknown), `work_s` the remaining work of the chosen ones,"
-        " `places` the number of places that the job's items hold.",
+        " chosen group (null if unknown), `work_s` the remaining work of the chosen ones.",
         (
             "job",
             "chosen",
@@ -272,7 +271,6 @@
             "time_left_s",
             "slack_s",
             "work_s",
-            "places",
         ),
     ),
     # --- scores of items
