Group plan: what a step still misses goes before the next step's items, also if it is late

Cause: the class of a group went before everything else, and a group that cannot be whole counted as unwanted even if the trainer has no other to wait for. Change: chosen and late groups share a class in ranks; late groups come after the chosen ones of their job. A group with an item given up is late, not infeasible, if the trainer cannot get enough others. Aging goes by priority alone.

--- a/src/crankseam/jobs/aging.py
+++ b/src/crankseam/jobs/aging.py
@@ -1,7 +1,7 @@
 """Decides when an item that is less urgent goes before a more urgent one.
 
 Inputs: the places that this process granted at a service since the last one that aging granted;
-the level (class of the group and priority) of each waiting item, and the order in which they came.
+the level of each waiting item, which is its job's priority, and the order in which they came.
 Rule: of AGED_PLACE_INTERVAL places at a contended service, one goes to the less urgent level whose
 item has waited longest, and there to the item of the first rank. Items that no trainer waits for
 have no level and do not age.
@@ -30,17 +30,15 @@
     ==========
 
     number : position in the order of arrival.
-    level : class and priority; None if it does not age.
+    level : priority of its job; None if it does not age.
     """
 
     rank: tuple[float, ...]
     number: int
-    level: tuple[int, int] | None
+    level: int | None
 
 
-def aged_request(
-    first: tuple[int, int] | None, waiting: Iterable[WaitingLevel]
-) -> WaitingLevel | None:
+def aged_request(first: int | None, waiting: Iterable[WaitingLevel]) -> WaitingLevel | None:
     """The request to which aging grants a place; None if there is none that is less urgent.
 
     Parameters
@@ -51,9 +49,9 @@
     Examples
     ========
 
-    >>> old = WaitingLevel((0.0, 7.0), 1, (0, 7))
-    >>> new = WaitingLevel((0.0, 1.0), 2, (0, 1))
-    >>> aged_request((0, 1), [new, old]) is old, aged_request((0, 7), [new, old])
+    >>> old = WaitingLevel((0.0, 7.0), 1, 7)
+    >>> new = WaitingLevel((0.0, 1.0), 2, 1)
+    >>> aged_request(1, [new, old]) is old, aged_request(7, [new, old])
     (True, None)
     """
     if first is None:
--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -40,7 +40,7 @@
 
     urgency: Urgency | None = field(default=None, compare=False)
 
-    def level(self) -> tuple[int, int] | None:
+    def level(self) -> int | None:
         """See Urgency."""
         return self.urgency.level() if self.urgency is not None else None
 
--- a/src/crankseam/jobs/group_plan.py
+++ b/src/crankseam/jobs/group_plan.py
@@ -7,8 +7,9 @@
 BEGUN_WORK_FACTOR of it. A group can be whole in time if its longest item fits into the time left
 with the shortest likely length (LENGTH_ERROR_FRACTION). As many of these groups as the trainer
 waits for are chosen, the others are beyond. If too few can be whole in time, those with the least
-work of the rest are late: the trainer still waits for them. How many places the job will get is
-not known, and does not matter for the order: the groups are served one after the other.
+work of the rest are late: the trainer still waits for them. A group of which an item was given up
+comes last of all, and is late if the trainer cannot get enough others. How many places the job
+will get is not known, and does not matter for the order: groups are served one after the other.
 Purpose: under scarcity as many groups as possible are whole in time, one after the other, rather
 than all of them together and late.
 Logged as: `groups_planned`.
@@ -31,7 +32,7 @@
 
 
 class GroupClass(enum.IntEnum):
-    """What the plan expects of a group; groups of a smaller class are served first."""
+    """What the plan expects of a group; in a job, groups of a smaller class are served first."""
 
     CHOSEN = 0
     """The trainer waits for it, and it can be whole in time."""
@@ -42,6 +43,10 @@
     INFEASIBLE = 3
     """It cannot be whole in time, or not at all, and the trainer does not wait for it."""
 
+    def is_wanted(self) -> bool:
+        """Whether the trainer waits for the group."""
+        return self <= GroupClass.LATE
+
 
 @dataclass(frozen=True, slots=True)
 class GroupWork:
@@ -158,7 +163,7 @@
             chosen.append(group)
         else:
             beyond.append(group)
-    late = [group for group in infeasible if not group.is_lost][: max(0, needed - len(chosen))]
+    late = infeasible[: max(0, needed - len(chosen))]
     not_needed = infeasible[len(late) :]
     return _numbered(
         time_left_s,
--- a/src/crankseam/jobs/job_urgency.py
+++ b/src/crankseam/jobs/job_urgency.py
@@ -89,17 +89,17 @@
         """See Urgency."""
         return self._job_urgency.rank(self._index)
 
-    def level(self) -> tuple[int, int] | None:
+    def level(self) -> int | None:
         """See Urgency."""
         group_class = self._job_urgency.group_class(self._index)
-        if group_class is None or group_class > GroupClass.LATE:
+        if group_class is None or not group_class.is_wanted():
             return None
-        return (group_class, self._job_urgency.job.priority)
+        return self._job_urgency.job.priority
 
     def is_wanted(self) -> bool:
         """See Urgency."""
         group_class = self._job_urgency.group_class(self._index)
-        return group_class is None or group_class <= GroupClass.LATE
+        return group_class is None or group_class.is_wanted()
 
     def request_priority(self) -> int | None:
         """See Urgency."""
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -60,8 +60,8 @@
     def rank(self) -> tuple[float, ...]:
         """Sort key among all waiting items of this process; the smallest is served first."""
 
-    def level(self) -> tuple[int, int] | None:
-        """Class and priority between which the aging of dispatcher.py is fair; None if none."""
+    def level(self) -> int | None:
+        """Priority between which and others items age; None if the item does not age."""
 
     def is_wanted(self) -> bool:
         """Whether the trainer waits for the item."""
@@ -119,9 +119,10 @@
 ) -> tuple[float, ...]:
     """Sort key of an item at a contended service.
 
-    The order is: class of the group; priority; fair order of tenants; in the class of chosen
-    groups, the long items that must start now, by their latest start; then earlier jobs, groups in
-    the order of the plan, and the items that need the longest first.
+    The order is: groups that the trainer waits for, whether chosen or late; priority; fair order of
+    tenants; in chosen groups, the long items that must start now, by their latest start; then
+    earlier jobs, groups in the order of the plan, and the items that need the longest first. Late
+    groups of a step go before the next step's, since its trainer waits for the earlier one.
 
     Parameters
     ==========
@@ -136,7 +137,7 @@
     else:
         order = (1.0, started_at // START_SPAN_S, float(group.position))
     return (
-        float(group.group_class),
+        0.0 if group.group_class.is_wanted() else float(group.group_class),
         float(job.priority),
         fair_start,
         *order,
@@ -156,7 +157,7 @@
     >>> [request_priority(3, group_class) for group_class in GroupClass]
     [3, 3, 9, 9]
     """
-    if group_class > GroupClass.LATE:
+    if not group_class.is_wanted():
         return LOWEST_REQUEST_PRIORITY
     return max(0, min(priority, LOWEST_REQUEST_PRIORITY))
 
