Contended services: an interrupted run goes on before items that have not begun

Cause: a run that is interrupted went back to the place of its group; before, long items were first in their job. Change: interrupted runs of groups that the trainer waits for go first, by their latest start.

--- a/src/crankseam/jobs/job_urgency.py
+++ b/src/crankseam/jobs/job_urgency.py
@@ -261,10 +261,15 @@
                         now,
                         remaining_s[index],
                         self._are_long[index],
+                        self._is_interrupted(index),
                         index,
                     )
         return ranks
 
+    def _is_interrupted(self, index: int) -> bool:
+        text = self._texts[self.job.items[index].id]
+        return bool(text.events) and not text.whole
+
     def _log_if_changed(self, plan: GroupPlan, now: float) -> None:
         if now < self._next_log_at or plan.same_sets(self._logged):
             return
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -115,14 +115,16 @@
     now: float,
     remaining_s: float,
     is_long: bool,
+    is_interrupted: bool,
     index: int,
 ) -> tuple[float, ...]:
     """Sort key of an item at a contended service.
 
     The order is: groups that the trainer waits for, whether chosen or late; priority; fair order of
-    tenants; in chosen groups, the long items that must start now, by their latest start; then
-    earlier jobs, groups in the order of the plan, and the items that need the longest first. Late
-    groups of a step go before the next step's, since its trainer waits for the earlier one.
+    tenants; interrupted runs of these groups, and of the chosen ones the long items that must start
+    now, by their latest start; then earlier jobs, groups in the order of the plan, and the items
+    that need the longest first. Late groups of a step go before the next step's, since its trainer
+    waits for the earlier one.
 
     Parameters
     ==========
@@ -130,14 +132,16 @@
     fair_start : see FairOrder.start_of.
     remaining_s : expected seconds that the item still needs, including its scoring.
     is_long : whether the item is expected to be long by its hint.
+    is_interrupted : whether the item has begun; if it waits, its run was broken off or moved.
     """
-    is_first = is_long and group.group_class is GroupClass.CHOSEN
-    if is_first and must_start(remaining_s, due_at, now):
+    is_wanted = group.group_class.is_wanted()
+    may_be_late = is_long and group.group_class is GroupClass.CHOSEN
+    if is_wanted and (is_interrupted or (may_be_late and must_start(remaining_s, due_at, now))):
         order = (0.0, due_at - remaining_s, 0.0)
     else:
         order = (1.0, started_at // START_SPAN_S, float(group.position))
     return (
-        0.0 if group.group_class.is_wanted() else float(group.group_class),
+        0.0 if is_wanted else float(group.group_class),
         float(job.priority),
         fair_start,
         *order,
