--- a/src/crankseam/fairness/round_order.py
+++ b/src/crankseam/fairness/round_order.py
@@ -22,7 +22,30 @@
 
 from crankseam.fairness.item_order import ItemFairness
 from crankseam.jobs.places import ItemKind, PlaceRequest
-from crankseam.jobs.urgency import RANK_CLASS_FIELDS
+from crankseam.jobs.urgency import PRIORITY_FIELD, RANK_CLASS_FIELDS
+
+
+class RankOrder:
+    """The waiting requests of one round in order of rank, where tenants have no shares.
+
+    Parameters
+    ==========
+
+    waiting : the requests, in ascending order of rank and number.
+    """
+
+    def __init__(self, waiting: Iterable[PlaceRequest]) -> None:
+        self._waiting = iter(waiting)
+
+    def next(self) -> PlaceRequest | None:
+        """See RoundOrder; requests for which there is no room are returned as well."""
+        return next(self._waiting, None)
+
+    def granted(self, request: PlaceRequest) -> None:
+        """See RoundOrder."""
+
+    def found_no_room(self, request: PlaceRequest) -> None:
+        """See RoundOrder."""
 
 
 class _Contender(NamedTuple):
@@ -163,7 +186,7 @@
     def granted(self, request: PlaceRequest) -> None:
         """Record that a request that was returned got a place."""
         need = request.need
-        self._fairness.granted(need.tenant, need.model, need.work_s, request.rank[0])
+        self._fairness.granted(need.tenant, need.model, need.work_s, request.rank[PRIORITY_FIELD])
 
     def found_no_room(self, request: PlaceRequest) -> None:
         """Record that no sampler has room for a request that was returned."""
--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -4,23 +4,25 @@
 
 Owns the queue of waiting items, and the counts of the places that this process holds at each
 sampler (`in_flight`, `runs`). Relies on the registry for the samplers. The rules are in urgency.py
-(order of the items), fairness/round_order.py (order among tenants), places.py (choice of the
-sampler) and migration.py (migration of runs).
+(order of the items), aging.py (exceptions from it), fairness/round_order.py (order among tenants),
+places.py (choice of the sampler) and migration.py (migration of runs).
 """
 
 from __future__ import annotations
 
 import asyncio
-import heapq
 import itertools
+import time
 from operator import attrgetter
 
 from crankseam.fairness.item_order import ItemFairness
-from crankseam.fairness.round_order import RoundOrder
+from crankseam.fairness.round_order import RankOrder, RoundOrder
 from crankseam.fairness.waits import WaitingRequest
+from crankseam.jobs.aging import AgingQuota, WaitingLevel, aged_request
 from crankseam.jobs.migration import max_pace_s
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
 from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
+from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.paces import SamplerPaces
@@ -28,6 +30,11 @@
 POLL_INTERVAL_S = 0.05
 """Interval at which places are assigned while items wait, because neither a new load report nor the
 end of a back end's avoidance wakes the dispatcher."""
+RANK_INTERVAL_S = 0.25
+"""Minimum time between two updates of the ranks of all waiting items; equal to the interval at
+which ranks change."""
+
+_ORDER = attrgetter("rank", "number")
 
 
 class Dispatcher:
@@ -56,6 +63,8 @@
         self._registry = registry
         self._zone = zone
         self._waiting: list[PlaceRequest] = []
+        self._aging = AgingQuota()
+        self._next_rank_at = float("-inf")
         self._request_numbers = itertools.count()
         self._wake = asyncio.Event()
         self.paces = paces if paces is not None else SamplerPaces()
@@ -74,15 +83,27 @@
             self._wake.clear()
             self._assign_places()
 
-    async def acquire(self, need: PlaceNeed, service: str, only_version: int = 0) -> BackEnd:
+    async def acquire(
+        self,
+        need: PlaceNeed,
+        service: str,
+        only_version: int = 0,
+        urgency: Urgency | None = None,
+    ) -> BackEnd:
         """Wait for a place at a sampler of a service; the caller must release it.
 
         See PlaceNeed for `need` and PlaceRequest for `only_version`.
+
+        Parameters
+        ==========
+
+        urgency : gives the rank during the wait; the rank of `need` if omitted.
         """
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._request_numbers)
-        request = PlaceRequest(need.rank, number, need, service, only_version, place)
-        heapq.heappush(self._waiting, request)
+        rank = urgency.rank() if urgency is not None else need.rank
+        request = PlaceRequest(rank, number, need, service, only_version, place, urgency)
+        self._waiting.append(request)
         self._wake.set()
         try:
             return await place
@@ -102,47 +123,78 @@
         round_ = AssignmentRound(
             self._registry, self.paces, self._zone, self._memory_of, self._estimates
         )
-        if self._fairness is not None and self._fairness.is_active():
-            self._assign_by_shares(round_, self._fairness)
-            return
-        unplaced: list[PlaceRequest] = []
-        while self._waiting:
-            request = heapq.heappop(self._waiting)
+        self._update_ranks()
+        self._waiting.sort(key=_ORDER)
+        order = self._round_order()
+        aged: set[str] = set()
+        while (request := order.next()) is not None:
             if request.place.done():
                 continue
-            if not self._try_to_place(request, round_):
-                unplaced.append(request)
-        self._waiting = unplaced
-
-    def _assign_by_shares(self, round_: AssignmentRound, fairness: ItemFairness) -> None:
-        """Assign places in the order of fairness/round_order.py."""
-        waiting = [request for request in self._waiting if not request.place.done()]
-        waiting.sort(key=attrgetter("rank", "number"))
-        order = RoundOrder(waiting, fairness)
-        while (request := order.next()) is not None:
-            if self._try_to_place(request, round_):
-                order.granted(request)
-            else:
-                order.found_no_room(request)
-        # A sorted list is a heap, as `acquire` needs it.
-        self._waiting = [request for request in waiting if not request.place.done()]
-        if fairness.waits.is_due():
-            fairness.waits.look(
-                WaitingRequest(request.need.tenant, request.need.since_s)
-                for request in self._waiting
-            )
+            if request.service not in aged and self._aging.is_due(request.service):
+                aged.add(request.service)
+                self._place_aged(round_, request, order)
+            if not request.place.done():
+                self._place(round_, request, order)
+        self._waiting = [request for request in self._waiting if not request.place.done()]
+        self._report_waits()
+
+    def _update_ranks(self) -> None:
+        now = time.monotonic()
+        if now < self._next_rank_at:
+            return
+        self._next_rank_at = now + RANK_INTERVAL_S
+        for request in self._waiting:
+            if request.urgency is not None:
+                request.rank = request.urgency.rank()
 
-    @staticmethod
-    def _try_to_place(request: PlaceRequest, round_: AssignmentRound) -> bool:
-        """Give a waiting request a place; False if no suitable sampler has room."""
+    def _round_order(self) -> RankOrder | RoundOrder:
+        """Order in which the requests of this round are tried, which are sorted by rank."""
+        if self._fairness is not None and self._fairness.is_active():
+            return RoundOrder(self._waiting, self._fairness)
+        return RankOrder(self._waiting)
+
+    def _place(
+        self,
+        round_: AssignmentRound,
+        request: PlaceRequest,
+        order: RankOrder | RoundOrder,
+        by_age: bool = False,
+    ) -> None:
+        """Assign a place to a request, if a suitable sampler has room."""
         back_end = round_.assign(request)
         if back_end is None:
-            return False
+            order.found_no_room(request)
+            return
         back_end.occupy_slot()
         if request.need.item:
             back_end.runs[request.need.item] = request.need.size
         request.place.set_result(back_end)
-        return True
+        order.granted(request)
+        if request.level() is not None:
+            self._aging.granted(request.service, by_age)
+
+    def _place_aged(
+        self, round_: AssignmentRound, first: PlaceRequest, order: RankOrder | RoundOrder
+    ) -> None:
+        """Assign a place by age to a request that is less urgent than the first one."""
+        waiting = {
+            request.number: request
+            for request in self._waiting
+            if request.service == first.service and not request.place.done()
+        }
+        levels = [WaitingLevel(one.rank, one.number, one.level()) for one in waiting.values()]
+        chosen = aged_request(first.level(), levels)
+        if chosen is not None:
+            self._place(round_, waiting[chosen.number], order, by_age=True)
+
+    def _report_waits(self) -> None:
+        """Report tenants that wait long, from time to time."""
+        fairness = self._fairness
+        if fairness is not None and fairness.is_active() and fairness.waits.is_due():
+            fairness.waits.look(
+                WaitingRequest(request.need.tenant, request.need.since_s)
+                for request in self._waiting
+            )
 
     def is_registered(self, back_end_id: str) -> bool:
         """Whether discovery lists a back end with this id."""
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -27,6 +27,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry, slots_of
 from crankseam.serving.engine_memory import EMPTY_RUN, EngineMemory, RunSize
 from crankseam.serving.expected_completion import (
@@ -121,6 +122,7 @@
     number : position in the order of arrival.
     service : name of the service whose samplers are considered.
     place : receives the chosen sampler.
+    urgency : gives the rank during the wait; None if the rank stays.
     kind : kind of the item, by its need.
     """
 
@@ -131,6 +133,7 @@
     only_version: int = field(compare=False)
     """The only weight version that may continue the item's text; 0 if any version may."""
     place: asyncio.Future[BackEnd] = field(compare=False)
+    urgency: Urgency | None = field(default=None, compare=False)
     kind: ItemKind = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
@@ -145,6 +148,10 @@
             need.size.events // SIZE_BUCKET_EVENTS,
         )
 
+    def level(self) -> int | None:
+        """See Urgency."""
+        return self.urgency.level() if self.urgency is not None else None
+
 
 class Cost(NamedTuple):
     """Cost of placing an item at a sampler, compared field by field in this order.
@@ -343,10 +350,21 @@
             self._zone,
             self._now,
             self._registry.may_send,
-            self._time_factors[request.service],
+            self._time_factors_for(request),
         )
         return _Queue(candidates, need, view)
 
+    def _time_factors_for(self, request: PlaceRequest) -> TimeFactors | None:
+        """Time factors of the samplers for one kind of item; None if load alone decides.
+
+        Items go by load where samplers report no slowdown: there paces differ little, slow samplers
+        and those for long items are told apart by other fields of `Cost`, and a small difference of
+        paces would hide one of load.
+        """
+        if request.need.item and not self._registry.reports_slowdown(request.service):
+            return None
+        return self._time_factors[request.service]
+
 
 def _versions_behind(back_ends: list[BackEnd], model: str) -> dict[str, int]:
     """Number of versions of a model by which each sampler is behind the newest one, by sampler id.
--- a/src/crankseam/jobs/scoring.py
+++ b/src/crankseam/jobs/scoring.py
@@ -32,6 +32,7 @@
 from crankseam.jobs.routed_places import RoutedPlaces
 from crankseam.jobs.scoring_reserve import ScoringReserve, fixed_reserve
 from crankseam.jobs.send_outcome import record_send_outcome
+from crankseam.jobs.urgency import Urgency
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import DEFAULT_CRASH_LIMIT
 from crankseam.quarantine.model import RequestIdentity
@@ -49,12 +50,19 @@
 class ScoringClient(Protocol):
     """Sends scoring requests to back ends."""
 
-    async def score(self, back_end: BackEnd, request: ScoringRequest, deadline: float) -> str:
+    async def score(
+        self,
+        back_end: BackEnd,
+        request: ScoringRequest,
+        deadline: float,
+        priority: int | None = None,
+    ) -> str:
         """Send a scoring request and return the signature of the answer.
 
         Args:
             deadline: time at which the back end is to stop its work, on the clock of
                 `clocks.boottime_s`.
+            priority: urgency that the back end is told; None for none.
 
         Raises:
             AttemptNotRun, AttemptBroken, ScoringFailed
@@ -102,7 +110,7 @@
         job: JobDefinition,
         item: ItemDefinition,
         request: ScoringRequest,
-        rank: tuple[float, ...],
+        urgency: Urgency,
         job_attempts: int,
     ) -> str | None:
         """The score of an item; None if its scoring request failed too often.
@@ -110,21 +118,26 @@
         Parameters
         ==========
 
-        rank : sort key among all waiting items; the smallest is served first.
+        urgency : urgency of the item.
         job_attempts : `max_attempts` of the job's route; the route of the scoring request may allow
             more.
         """
         run = _ScoringRun(self._client, self._guard, self._observer, job, item, request)
         try:
-            return await self._try_until_scored(run, request, rank, job_attempts, job.tenant)
+            return await self._try_until_scored(run, request, urgency, job_attempts, job.tenant)
         finally:
             run.tracker.abandon()
 
+    def expected_s(self, request: ScoringRequest) -> float:
+        """Seconds after which a scoring request that found a place is expected to be answered."""
+        route = self._find_route(request)
+        return route.target_latency_s if route is not None else 0.0
+
     async def _try_until_scored(
         self,
         run: _ScoringRun,
         request: ScoringRequest,
-        rank: tuple[float, ...],
+        urgency: Urgency,
         job_attempts: int,
         tenant: str,
     ) -> str | None:
@@ -132,16 +145,19 @@
         while True:
             await run.tracker.wait_until_admitted()
             need = PlaceNeed(
-                rank,
+                urgency.rank(),
                 avoided=run.avoided,
                 slots_share=self._reserve.slots_share(self._find_route(request)),
                 tenant=tenant,
                 work_s=work_s,
             )
-            async with self._places.hold(partial(self._find_route, request), need) as place:
+            async with self._places.hold(
+                partial(self._find_route, request), need, urgency=urgency
+            ) as place:
                 # The tenant is charged once, as all scoring requests count the same.
                 work_s = 0.0
-                score = await run.attempt(place.route, place.back_end)
+                priority = urgency.request_priority()
+                score = await run.attempt(place.route, place.back_end, priority)
             if score is not None:
                 return score
             if run.should_give_up(max_scoring_failures(place.route, job_attempts), place.back_end):
@@ -175,7 +191,9 @@
         """Id of the back end to which the last attempt was sent; empty before the first one."""
         self.backoff = Backoff(SCORING_RETRY_BASE_S, SCORING_RETRY_CAP_S)
 
-    async def attempt(self, route: Route, back_end: BackEnd) -> str | None:
+    async def attempt(
+        self, route: Route, back_end: BackEnd, priority: int | None = None
+    ) -> str | None:
         """Send the request once; None if the attempt gave no score."""
         timeout_s = scoring_timeout_s(route, self._timeouts)
         self.avoided = back_end.record.id
@@ -187,7 +205,7 @@
                     self.tracker.sending() as send,
                 ):
                     deadline = clocks.boottime_s() + timeout_s
-                    call = self._client.score(back_end, self._request, deadline)
+                    call = self._client.score(back_end, self._request, deadline, priority)
                     score = await record_send_outcome(self._guard, send, back_end, call)
                     observed.is_complete = True
         except AttemptNotRun as refusal:
--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -69,6 +69,15 @@
     """Whether usage reports are sent to this address."""
 
 
+class LoadSettings(msgspec.Struct, frozen=True):
+    """Decisions under load that an operator may switch on."""
+
+    plan_groups: bool = False
+    """Whether the items of a job at a contended service are served group by group, those groups
+    first that the trainer waits for and that can be whole in time, and whether samplers are told
+    how urgent they are. Otherwise they are served by priority, start and length."""
+
+
 class ProcessSettings(msgspec.Struct, frozen=True):
     """Everything that a process must know before it can connect to the coordination store."""
 
@@ -85,6 +94,7 @@
     listen: Listeners = Listeners()
     bounds: Bounds = Bounds()
     duties: DutyCalls = DutyCalls()
+    load: LoadSettings = LoadSettings()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
 
 
--- a/tests/jobs/test_item_seconds.py
+++ b/tests/jobs/test_item_seconds.py
@@ -2,7 +2,13 @@
 
 import pytest
 
-from crankseam.jobs.item_seconds import DEFAULT_ITEM_S, MIN_ITEMS, ExpectedWork, ItemSeconds
+from crankseam.jobs.item_seconds import (
+    DEFAULT_ITEM_S,
+    MIN_ITEMS,
+    MIN_REMAINING_FRACTION,
+    ExpectedWork,
+    ItemSeconds,
+)
 from crankseam.jobs.model import ItemDefinition, JobDefinition
 
 
@@ -71,3 +77,31 @@
     work = item_seconds.expected_work(job([10, 10, 100]))
     assert work.total_s == pytest.approx(4.8) and work.longest_item_s == pytest.approx(4.0)
     assert item_seconds.expected_work(job([])) == ExpectedWork()
+
+
+def test_what_an_item_still_needs_falls_with_its_events_but_not_to_nothing():
+    item_seconds = ItemSeconds()
+    assert item_seconds.rate("m") is None
+    for number in range(MIN_ITEMS):
+        item_seconds.ended("m", item(number, hint=40), 2.0, events=20)
+    rate = item_seconds.rate("m")
+    left = [rate.remaining_s(item(0, hint=80), events) for events in (0, 20, 40, 400)]
+    assert left == pytest.approx([4.0, 2.0, *[4.0 * MIN_REMAINING_FRACTION] * 2])
+
+
+def test_the_start_of_short_items_does_not_pass_for_the_pace_of_long_ones():
+    """Load: a step whose short items end first; its long ones must not be taken for late."""
+    item_seconds, generator = ItemSeconds(), random.Random(7)
+    for number in range(20):
+        events = generator.randint(4, 20)
+        hint = round(2 * events * generator.uniform(0.5, 1.5))
+        item_seconds.ended("m", item(number, hint), 0.5 + 0.05 * events, events)
+    long_s = item_seconds.rate("m").remaining_s(item(0, hint=2 * 140), 0)
+    assert long_s == pytest.approx(0.5 + 0.05 * 140, rel=0.2)
+
+
+def test_events_that_are_unknown_do_not_count_as_progress():
+    item_seconds = ItemSeconds()
+    for number in range(MIN_ITEMS):
+        item_seconds.ended("m", item(number, hint=40), 2.0)
+    assert item_seconds.rate("m").remaining_s(item(0, hint=40), 20) == pytest.approx(2.0)
