Test: a waiter is refused by the duration assumed at its arrival (fails)

The timer of a waiting request is set once. When the durations learnt since are shorter, it still fires at the old time, although the request would be answered in time. Seen: refused at 2.0 s, with 1 s left and a typical duration of 0.1 s. The second test, which passes, holds the other bound. Run: tests/overload/test_gate.py.

--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -347,3 +347,30 @@
     assert rig.state.running == 1
     await unread.aclose()
     assert rig.state.running == 0
+
+
+@virtual
+async def test_a_request_waits_on_if_its_duration_turns_out_shorter_than_was_assumed():
+    """Its patience is that of now, not the one of its arrival: it can be answered until 2.9 s."""
+    rig = Rig(slots=1)
+    stream = await rig.gate.enter(rig.request())
+    waiting = rig.enter("q1", left_s=3.0)
+    await asyncio.sleep(0.1)
+    stream.record_answer()  # the head of a stream, whose body still occupies the place
+    await asyncio.sleep(2.4)
+    assert not waiting.done()
+    stream.release()
+    (await waiting).release()
+
+
+@virtual
+async def test_a_waiter_whose_duration_shrank_is_refused_when_the_shorter_one_does_not_fit():
+    rig = Rig(slots=1)
+    stream = await rig.gate.enter(rig.request())
+    waiting = rig.enter("q1", left_s=3.0)
+    await asyncio.sleep(0.1)
+    stream.record_answer()
+    await asyncio.sleep(2.81)
+    with pytest.raises(Unavailable):
+        await waiting
+    stream.release()
