--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -374,3 +374,20 @@
     with pytest.raises(Unavailable):
         await waiting
     stream.release()
+
+
+@virtual
+async def test_a_lost_back_end_makes_the_last_of_a_large_tenant_too_late_not_the_small_tenant():
+    """Tenants take turns, so the only request of the small one is second, whatever its deadline."""
+    rig = Rig(back_ends=10, slots=1)
+    for _ in range(10):
+        await rig.gate.enter(rig.request())
+    large = [rig.enter(f"q{number}", left_s=9.9, tenant="large") for number in range(85)]
+    small = rig.enter("small", left_s=9.95, tenant="small")
+    await settle()
+    assert not any(task.done() for task in [*large, small])
+    for number in range(5):
+        rig.registry.remove(f"b{number}")
+    await settle()
+    assert sum(task.done() for task in large) > 30
+    assert not small.done()
