Test: refusing a whole line costs tenants times requests (fails)

Each refusal counts the place of a new request of its tenant for the log line, which is linear in the tenants that wait: 500 counts for 500 requests. Run: tests/overload/test_gate.py.

--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -391,3 +391,29 @@
     await settle()
     assert sum(task.done() for task in large) > 30
     assert not small.done()
+
+
+@virtual
+async def test_refusing_a_whole_line_of_many_tenants_counts_no_place_for_each_refusal():
+    """A place costs time in the tenants that wait; counted for each refusal it would be squared."""
+    for has_suspension in (True, False):
+        rig, counted = Rig(slots=1), []
+        permit = await rig.gate.enter(rig.request())
+        tasks = [rig.enter(f"q{n}", left_s=1e5, tenant=f"t{n}") for n in range(500)]
+        await settle()
+
+        class CountingLine(WaitingLine):
+            def place_of(self, tenant, priority, counted=counted):
+                counted.append(tenant)
+                return super().place_of(tenant, priority)
+
+        rig.state.line.__class__ = CountingLine
+        if has_suspension:
+            rig.suspended_s += 2e5
+            rig.gate.judge_anew()
+        else:
+            rig.registry.remove("b0")
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(isinstance(result, Unavailable) for result in results)
+        assert not counted
+        permit.release()
