Test: absurd slots in discovery data (fails)

Negative slots of one back end are taken from the others' sum, a service with negative slots only counts as one that has back ends, and a number beyond the floats raises OverflowError in the callback of the registry. Run: tests/overload/test_gate.py.

--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -417,3 +417,18 @@
         assert all(isinstance(result, Unavailable) for result in results)
         assert not counted
         permit.release()
+
+
+@virtual
+async def test_absurd_slots_of_one_back_end_neither_take_those_of_others_nor_fail():
+    for absurd in (-5, 10**400):
+        rig = Rig(back_ends=2, slots=2)
+        rig.add_back_end("absurd", slots=absurd)
+        permits = [await rig.gate.enter(rig.request()) for _ in range(4)]
+        for permit in permits:
+            permit.record_answer()
+            permit.release()
+    only = Rig(back_ends=0)
+    only.add_back_end("negative", slots=-5)
+    with pytest.raises(Unavailable):
+        await only.gate.enter(only.request())
