--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -65,6 +65,8 @@
     place: int = field(kw_only=True)
     arrived_at: float = field(kw_only=True)
     decided: asyncio.Future[Permit | Unavailable] = field(kw_only=True)
+    timer: asyncio.TimerHandle | None = None
+    """Fires when the typical duration no longer fits."""
 
 
 class _ServiceState:
@@ -212,16 +214,15 @@
 
     async def _wait(self, state: _ServiceState, request: GateRequest) -> Permit:
         waiting = self._join(state, request)
-        loop = asyncio.get_running_loop()
-        patience_s = self._left_s(request) - self._run_s(state, request)
-        timer = loop.call_later(max(0.0, patience_s), self._expire, state, waiting)
+        self._check_patience(state, waiting)
         try:
             decision = await waiting.decided
         except asyncio.CancelledError:
             self._abandon(state, waiting)
             raise
         finally:
-            timer.cancel()
+            if waiting.timer is not None:
+                waiting.timer.cancel()
         if isinstance(decision, Unavailable):
             raise decision
         return decision
@@ -256,6 +257,19 @@
             state.line.remove(waiting)
             self._log_queued(state, waiting, "cancelled")
 
+    def _check_patience(self, state: _ServiceState, waiting: _Waiting) -> None:
+        """Refuse a request if its typical duration no longer fits, else check again later.
+
+        The typical duration may have become shorter since the request arrived. If it became longer,
+        the request is judged when its turn comes.
+        """
+        patience_s = self._left_s(waiting.request) - self._run_s(state, waiting.request)
+        if patience_s <= 0.0:
+            self._expire(state, waiting)
+            return
+        loop = asyncio.get_running_loop()
+        waiting.timer = loop.call_later(patience_s, self._check_patience, state, waiting)
+
     def _expire(self, state: _ServiceState, waiting: _Waiting) -> None:
         """Refuse a waiting request that can no longer be answered in time."""
         if waiting.is_waiting and not waiting.decided.done():
