The line is judged in the order in which it is served

`waiters` returned the requests by deadline, whatever their tenants. They now come in the order that `place_of` assumes: by priority, then the tenants in turn. Within one tenant nothing changes.

--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -399,7 +399,7 @@
         return estimate_answer(place, drain_per_s, self._run_s(state, request))
 
     def _judge_line(self, state: _ServiceState) -> None:
-        """Refuse every waiting request that can't be answered in time, by priority and deadline."""
+        """Refuse every waiting request that can't be answered in time, in the order of the line."""
         place = 0
         for waiting in state.line.waiters():
             assert isinstance(waiting, _Waiting)
--- a/src/crankseam/overload/line.py
+++ b/src/crankseam/overload/line.py
@@ -76,6 +76,18 @@
     first: _WaiterKey
 
 
+class _TurnKey(NamedTuple):
+    """Sort key of a waiter among all, if the tenants of a priority take turns.
+
+    `turn` is the number of earlier waiters of its tenant and priority.
+    """
+
+    priority: int
+    turn: int
+    deadline: float
+    number: int
+
+
 @dataclass(slots=True)
 class _TenantLine:
     """Waiting requests of one tenant and priority.
@@ -228,10 +240,22 @@
         return self._count
 
     def waiters(self) -> list[Waiter]:
-        """Return all waiting requests, the most urgent priority and earliest deadline first."""
-        lines = [line for each in self._priorities.values() for line in each.tenants.values()]
-        waiting = [waiter for line in lines for waiter in line.by_arrival if waiter.is_waiting]
-        return sorted(waiting, key=lambda each: (each.priority, each.deadline, each.number))
+        """Return all waiting requests in the order that `place_of` assumes.
+
+        The most urgent priority goes first; within it the tenants take turns, and each sends its
+        earliest deadline.
+        """
+        keyed: list[tuple[_TurnKey, Waiter]] = []
+        for priority, priority_line in self._priorities.items():
+            for line in priority_line.tenants.values():
+                waiting = [each for each in line.by_arrival if each.is_waiting]
+                waiting.sort(key=lambda each: (each.deadline, each.number))
+                keyed.extend(
+                    (_TurnKey(priority, turn, each.deadline, each.number), each)
+                    for turn, each in enumerate(waiting)
+                )
+        keyed.sort(key=lambda entry: entry[0])
+        return [waiter for _, waiter in keyed]
 
     def place_of(self, tenant: str, priority: int) -> int:
         """Return how many waiting requests go before a new one, if no more arrive.
