Refusals take the place that is known where they are decided

A place was counted again for the log line of each refusal, which is linear in the tenants that wait, so judging or refusing a whole line was quadratic. Where the line is judged or a turn has come the place is at hand. The logged `place` of such a refusal is now that of the request itself, not of a new one of its tenant.

--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -202,18 +202,19 @@
             return Permit(self, None, request, self._monotonic_s())
         state = self._current_state(request.service)
         if not state.limit.slots:
-            raise self._refuse(state, request, RefusalCause.NO_BACK_END)
+            raise self._refuse(state, request, RefusalCause.NO_BACK_END, 0)
         if not len(state.line) and not state.is_limit_in_use():
             return self._grant(state, request)
-        estimate = self._estimate(state, request, self._place_of(state, request))
+        place = self._place_of(state, request)
+        estimate = self._estimate(state, request, place)
         if not estimate.fits(self._left_s(request)):
             if not len(state.line) and self._free_slots(request.service):
                 return self._grant(state, request)
-            raise self._refuse(state, request, RefusalCause.ESTIMATE)
-        return await self._wait(state, request)
+            raise self._refuse(state, request, RefusalCause.ESTIMATE, place)
+        return await self._wait(state, request, place)
 
-    async def _wait(self, state: _ServiceState, request: GateRequest) -> Permit:
-        waiting = self._join(state, request)
+    async def _wait(self, state: _ServiceState, request: GateRequest, place: int) -> Permit:
+        waiting = self._join(state, request, place)
         self._check_patience(state, waiting)
         try:
             decision = await waiting.decided
@@ -227,7 +228,7 @@
             raise decision
         return decision
 
-    def _join(self, state: _ServiceState, request: GateRequest) -> _Waiting:
+    def _join(self, state: _ServiceState, request: GateRequest, place: int) -> _Waiting:
         """Add a request to the line; raises Unavailable if the line has no room for it."""
         waiting = _Waiting(
             request.inbound.tenant,
@@ -236,15 +237,17 @@
             len(request.inbound.body),
             next(self._numbers),
             request=request,
-            place=self._place_of(state, request),
+            place=place,
             arrived_at=self._boottime_s(),
             decided=asyncio.get_running_loop().create_future(),
         )
         displaced = state.line.add(waiting)
         if displaced is waiting:
-            raise self._refuse(state, request, RefusalCause.LINE_FULL)
+            raise self._refuse(state, request, RefusalCause.LINE_FULL, place)
         if isinstance(displaced, _Waiting):
-            self._decide(displaced, self._refuse_waiting(state, displaced, RefusalCause.DISPLACED))
+            place = self._place_of(state, displaced.request)
+            refusal = self._refuse_waiting(state, displaced, RefusalCause.DISPLACED, place)
+            self._decide(displaced, refusal)
         return waiting
 
     def _abandon(self, state: _ServiceState, waiting: _Waiting) -> None:
@@ -265,16 +268,17 @@
         """
         patience_s = self._left_s(waiting.request) - self._run_s(state, waiting.request)
         if patience_s <= 0.0:
-            self._expire(state, waiting)
+            self._expire(state, waiting, self._place_of(state, waiting.request))
             return
         loop = asyncio.get_running_loop()
         waiting.timer = loop.call_later(patience_s, self._check_patience, state, waiting)
 
-    def _expire(self, state: _ServiceState, waiting: _Waiting) -> None:
+    def _expire(self, state: _ServiceState, waiting: _Waiting, place: int) -> None:
         """Refuse a waiting request that can no longer be answered in time."""
         if waiting.is_waiting and not waiting.decided.done():
             state.line.remove(waiting)
-            self._decide(waiting, self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE))
+            refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, place)
+            self._decide(waiting, refusal)
 
     @staticmethod
     def _decide(waiting: _Waiting, decision: Permit | Unavailable) -> None:
@@ -301,7 +305,7 @@
             if waiting.decided.done():
                 continue  # its caller has gone, but its task has not run yet
             if self._run_s(state, waiting.request) > self._left_s(waiting.request):
-                refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE)
+                refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, 0)
                 self._decide(waiting, refusal)
                 continue
             self._log_queued(state, waiting, "granted")
@@ -407,7 +411,7 @@
             if estimate.fits(self._left_s(waiting.request)):
                 place += 1
             else:
-                self._expire(state, waiting)
+                self._expire(state, waiting, place)
 
     # --- back ends
 
@@ -442,7 +446,7 @@
     def _refuse_all(self, state: _ServiceState) -> None:
         while (waiting := state.line.take()) is not None:
             assert isinstance(waiting, _Waiting)
-            refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END)
+            refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END, 0)
             self._decide(waiting, refusal)
 
     def _free_slots(self, service: str) -> int:
@@ -457,10 +461,20 @@
     # --- refusals, log and gauges
 
     def _refuse(
-        self, state: _ServiceState, request: GateRequest, cause: RefusalCause, waited_s: float = 0.0
+        self,
+        state: _ServiceState,
+        request: GateRequest,
+        cause: RefusalCause,
+        place: int,
+        waited_s: float = 0.0,
     ) -> Unavailable:
-        """Log the refusal of a request, and return the error for its caller."""
-        place = self._place_of(state, request)
+        """Log the refusal of a request, and return the error for its caller.
+
+        Parameters
+        ==========
+
+        place : number of requests that would get their turn earlier.
+        """
         drain_per_s = self._drain_per_s(state, request)
         estimate = self._estimate(state, request, place)
         retry_after_s = self._retry_after_s(state, request, drain_per_s)
@@ -487,9 +501,10 @@
         return Unavailable(cause.value, OUTCOME_NOT_RUN, retry_after_s)
 
     def _refuse_waiting(
-        self, state: _ServiceState, waiting: _Waiting, cause: RefusalCause
+        self, state: _ServiceState, waiting: _Waiting, cause: RefusalCause, place: int
     ) -> Unavailable:
-        return self._refuse(state, waiting.request, cause, self._boottime_s() - waiting.arrived_at)
+        waited_s = self._boottime_s() - waiting.arrived_at
+        return self._refuse(state, waiting.request, cause, place, waited_s)
 
     def _retry_after_s(
         self, state: _ServiceState, request: GateRequest, drain_per_s: float
