--- a/src/crankseam/overload/concurrency.py
+++ b/src/crankseam/overload/concurrency.py
@@ -43,6 +43,22 @@
 """Fraction of the slots that are free if many are. Fewer are no reason for a fast rise: reports are
 old, and other processes see the same free slots."""
 
+MAX_BACK_END_SLOTS = 1_000_000
+"""Slots that are counted of one back end at most. A larger number in discovery data is a mistake,
+and may be too large for arithmetic with floats."""
+
+
+def usable_slots(slots: int) -> int:
+    """Return the slots of a back end as they are counted; 0 if they are negative.
+
+    Examples
+    ========
+
+    >>> usable_slots(8), usable_slots(-1)
+    (8, 0)
+    """
+    return min(max(slots, 0), MAX_BACK_END_SLOTS)
+
 
 class LimitCause(enum.Enum):
     """Why a limit changed."""
--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -34,7 +34,7 @@
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
 from crankseam.jobs.places import slots_of
-from crankseam.overload.concurrency import LATENCY_TOLERANCE, ConcurrencyLimit
+from crankseam.overload.concurrency import LATENCY_TOLERANCE, ConcurrencyLimit, usable_slots
 from crankseam.overload.estimate import AnswerEstimate, DrainRate, estimate_answer
 from crankseam.overload.hedge_budget import HedgeBudget
 from crankseam.overload.held_body import HeldBody
@@ -435,7 +435,9 @@
             return
         state.are_slots_outdated = False
         former_slots = state.limit.slots
-        slots = sum(slots_of(back_end) for back_end in self._registry.of_service(service))
+        slots = sum(
+            usable_slots(slots_of(back_end)) for back_end in self._registry.of_service(service)
+        )
         state.limit.set_slots(slots)
         self._log_limit(state, service)
         if not slots:
@@ -453,7 +455,7 @@
         """Return how many slots are known to be free; those of avoided back ends do not count."""
         now = self._monotonic_s()
         return sum(
-            max(0, math.ceil(slots_of(back_end) - back_end.expected_load(now)))
+            max(0, math.ceil(usable_slots(slots_of(back_end)) - back_end.expected_load(now)))
             for back_end in self._registry.of_service(service)
             if back_end.avoid_until <= now
         )
