--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -120,7 +120,7 @@
         self._state = state
 
     def record_answer(self) -> None:
-        """Record that the request was answered without a rejection or a failure."""
+        """Record that the request succeeded without a rejection by a back end."""
         if self._state is not None:
             self._gate.record_answer(self._state, self._request, self._granted_at)
 
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -126,7 +126,7 @@
             loop_deadline = asyncio.get_running_loop().time() + give_up_at - clocks.boottime_s()
             async with asyncio.timeout_at(loop_deadline):
                 answer = await self._attempt_until_answered(forwarding)
-            if answer is not None and not history.rejections and not retry.is_server_error(answer):
+            if answer is not None and not history.rejections and _is_success(answer):
                 permit.record_answer()
         except TimeoutError:
             answer = None
@@ -328,7 +328,12 @@
 
 def _is_complete_success(answer: Answer | StreamingAnswer) -> bool:
     """Whether an answer tells how long the back end takes for the work of its route."""
-    return isinstance(answer, Answer) and answer.status < MIN_ERROR_STATUS
+    return isinstance(answer, Answer) and _is_success(answer)
+
+
+def _is_success(answer: Answer | StreamingAnswer) -> bool:
+    """Whether the status says that the work of the route was done or has begun."""
+    return answer.status < MIN_ERROR_STATUS
 
 
 def _log_outcome(forwarding: _Forwarding, answer: Answer | StreamingAnswer | None) -> None:
