Overload gate: permits, the state of a service, waiting requests and log lines in modules of their own

Only moves: estimates are methods of ServiceState, since they need its figures alone; a permit knows its gate by a protocol, which avoids a circular import. Events and their fields are the same.

--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -24,22 +24,15 @@
 
 import asyncio
 import itertools
-import logging
 import math
 import random
-from collections.abc import AsyncGenerator, Callable
-from dataclasses import dataclass, field
 from functools import partial
 
 from crankseam.constants import OUTCOME_NOT_RUN
 from crankseam.errors import Unavailable
 from crankseam.jobs.places import slots_of
-from crankseam.overload.concurrency import LATENCY_TOLERANCE, ConcurrencyLimit, usable_slots
-from crankseam.overload.estimate import AnswerEstimate, DrainRate, estimate_answer
-from crankseam.overload.hedge_budget import HedgeBudget
-from crankseam.overload.held_body import HeldBody
-from crankseam.overload.latency import Latencies
-from crankseam.overload.line import Waiter, WaitingLine
+from crankseam.overload.concurrency import LATENCY_TOLERANCE, usable_slots
+from crankseam.overload.gate_log import log_hedge_withheld, log_limit, log_queued, log_refusal
 from crankseam.overload.messages import (
     SYSTEM_CLOCKS,
     ContentionLookup,
@@ -47,117 +40,12 @@
     GateRequest,
     RefusalCause,
 )
+from crankseam.overload.permits import Permit
 from crankseam.overload.retry_after import choose_retry_after_s
+from crankseam.overload.service_state import ServiceState
+from crankseam.overload.waiting import Waiting
 from crankseam.serving.back_ends import BackEndRegistry
-from crankseam.serving.fair_order import FairOrder, OrderLookup, order_of_arrival
-
-log = logging.getLogger(__name__)
-
-LIMIT_LOG_INTERVAL_S = 1.0
-"""Shortest time, in seconds, between two log lines about the limit of one service."""
-
-
-@dataclass(slots=True, eq=False)
-class _Waiting(Waiter):
-    """A waiting request with what the gate needs to decide about it."""
-
-    request: GateRequest = field(kw_only=True)
-    place: int = field(kw_only=True)
-    arrived_at: float = field(kw_only=True)
-    decided: asyncio.Future[Permit | Unavailable] = field(kw_only=True)
-    timer: asyncio.TimerHandle | None = None
-    """Fires when the typical duration no longer fits."""
-
-
-class _ServiceState:
-    """Overload state of one service."""
-
-    def __init__(self, order_of: Callable[[int], FairOrder]) -> None:
-        self.limit = ConcurrencyLimit()
-        self.line = WaitingLine(order_of)
-        self.drain = DrainRate()
-        self.latencies = Latencies()
-        self.hedges = HedgeBudget()
-        self.running = 0
-        """Requests and hedges that hold a place."""
-        self.are_slots_outdated = True
-        """Whether back ends changed since the slots were counted."""
-        self.assumed_s = 0.0
-        """Duration that is assumed until a request has ended: the target latency of a route."""
-        self.logged_limit = 0
-        self.logged_at = float("-inf")
-
-    def expected_s(self) -> float:
-        """Return the seconds for which a request is expected to occupy its place."""
-        return self.drain.typical_s or self.assumed_s
-
-    def is_limit_in_use(self) -> bool:
-        """Whether no further request may run."""
-        return self.running >= self.limit.requests
-
-
-class Permit:
-    """Place of one request, to be released when the request has ended.
-
-    Parameters
-    ==========
-
-    state : state of the service; None if the service is not limited.
-    granted_at : monotonic time of the grant.
-    """
-
-    def __init__(
-        self,
-        gate: OverloadGate,
-        state: _ServiceState | None,
-        request: GateRequest,
-        granted_at: float,
-    ) -> None:
-        self._gate = gate
-        self._request = request
-        self._granted_at = granted_at
-        self._hedges = 0
-        self._state = state
-
-    def record_answer(self) -> None:
-        """Record that the request succeeded without a rejection by a back end."""
-        if self._state is not None:
-            self._gate.record_answer(self._state, self._request, self._granted_at)
-
-    def hold_during(self, chunks: AsyncGenerator[bytes, None]) -> AsyncGenerator[bytes, None]:
-        """Return the body of a streamed answer such that its end releases this permit."""
-        return chunks if self._state is None else HeldBody(chunks, self.release)
-
-    def may_hedge(self, slow: str) -> bool:
-        """Whether a hedge may be sent; it then holds a place until this permit is released.
-
-        Parameters
-        ==========
-
-        slow : id of the back end whose answer is late.
-        """
-        if self._state is None:
-            return True
-        if not self._gate.try_hedge(self._state, self._request, slow):
-            return False
-        self._hedges += 1
-        return True
-
-    def release(self, may_have_run: bool = True) -> None:
-        """Give the place back; further calls do nothing.
-
-        Parameters
-        ==========
-
-        may_have_run : whether a back end may have run the request.
-        """
-        state, self._state = self._state, None
-        if state is None:
-            return
-        state.running -= 1 + self._hedges
-        if may_have_run:
-            self._gate.record_end(state, self._granted_at)
-        self._gate.dispatch(state, self._request.service)
+from crankseam.serving.fair_order import OrderLookup, order_of_arrival
 
 
 class OverloadGate:
@@ -184,7 +72,7 @@
         self._order_of = order_of
         self._boottime_s, self._monotonic_s = gate_clocks
         self._generator = generator or random.Random()
-        self._states: dict[str, _ServiceState] = {}
+        self._states: dict[str, ServiceState] = {}
         self._numbers = itertools.count()
         registry.on_change.append(self._handle_back_end_change)
 
@@ -205,15 +93,15 @@
             raise self._refuse(state, request, RefusalCause.NO_BACK_END, 0)
         if not len(state.line) and not state.is_limit_in_use():
             return self._grant(state, request)
-        place = self._place_of(state, request)
-        estimate = self._estimate(state, request, place)
+        place = state.place_of(request)
+        estimate = state.estimate(request, place, self._monotonic_s())
         if not estimate.fits(self._left_s(request)):
             if not len(state.line) and self._free_slots(request.service):
                 return self._grant(state, request)
             raise self._refuse(state, request, RefusalCause.ESTIMATE, place)
         return await self._wait(state, request, place)
 
-    async def _wait(self, state: _ServiceState, request: GateRequest, place: int) -> Permit:
+    async def _wait(self, state: ServiceState, request: GateRequest, place: int) -> Permit:
         waiting = self._join(state, request, place)
         self._check_patience(state, waiting)
         try:
@@ -228,9 +116,9 @@
             raise decision
         return decision
 
-    def _join(self, state: _ServiceState, request: GateRequest, place: int) -> _Waiting:
+    def _join(self, state: ServiceState, request: GateRequest, place: int) -> Waiting:
         """Add a request to the line; raises Unavailable if the line has no room for it."""
-        waiting = _Waiting(
+        waiting = Waiting(
             request.inbound.tenant,
             request.priority,
             request.give_up_at,
@@ -244,13 +132,13 @@
         displaced = state.line.add(waiting)
         if displaced is waiting:
             raise self._refuse(state, request, RefusalCause.LINE_FULL, place)
-        if isinstance(displaced, _Waiting):
-            place = self._place_of(state, displaced.request)
+        if isinstance(displaced, Waiting):
+            place = state.place_of(displaced.request)
             refusal = self._refuse_waiting(state, displaced, RefusalCause.DISPLACED, place)
             self._decide(displaced, refusal)
         return waiting
 
-    def _abandon(self, state: _ServiceState, waiting: _Waiting) -> None:
+    def _abandon(self, state: ServiceState, waiting: Waiting) -> None:
         """Remove a request whose caller has gone, also if it was granted a place meanwhile."""
         is_decided = waiting.decided.done() and not waiting.decided.cancelled()
         decision = waiting.decided.result() if is_decided else None
@@ -258,22 +146,22 @@
             decision.release(may_have_run=False)
         elif decision is None:
             state.line.remove(waiting)
-            self._log_queued(state, waiting, "cancelled")
+            log_queued(state, waiting, "cancelled", self._waited_s(waiting))
 
-    def _check_patience(self, state: _ServiceState, waiting: _Waiting) -> None:
+    def _check_patience(self, state: ServiceState, waiting: Waiting) -> None:
         """Refuse a request if its typical duration no longer fits, else check again later.
 
         The typical duration may have become shorter since the request arrived. If it became longer,
         the request is judged when its turn comes.
         """
-        patience_s = self._left_s(waiting.request) - self._run_s(state, waiting.request)
+        patience_s = self._left_s(waiting.request) - state.run_s(waiting.request)
         if patience_s <= 0.0:
-            self._expire(state, waiting, self._place_of(state, waiting.request))
+            self._expire(state, waiting, state.place_of(waiting.request))
             return
         loop = asyncio.get_running_loop()
         waiting.timer = loop.call_later(patience_s, self._check_patience, state, waiting)
 
-    def _expire(self, state: _ServiceState, waiting: _Waiting, place: int) -> None:
+    def _expire(self, state: ServiceState, waiting: Waiting, place: int) -> None:
         """Refuse a waiting request that can no longer be answered in time."""
         if waiting.is_waiting and not waiting.decided.done():
             state.line.remove(waiting)
@@ -281,11 +169,11 @@
             self._decide(waiting, refusal)
 
     @staticmethod
-    def _decide(waiting: _Waiting, decision: Permit | Unavailable) -> None:
+    def _decide(waiting: Waiting, decision: Permit | Unavailable) -> None:
         if not waiting.decided.done():
             waiting.decided.set_result(decision)
 
-    def _grant(self, state: _ServiceState, request: GateRequest) -> Permit:
+    def _grant(self, state: ServiceState, request: GateRequest) -> Permit:
         state.running += 1
         state.hedges.record_request()
         now = self._monotonic_s()
@@ -295,25 +183,25 @@
         order.charge(request.inbound.tenant, state.expected_s())
         return Permit(self, state, request, now)
 
-    def _dispatch(self, state: _ServiceState) -> None:
+    def _dispatch(self, state: ServiceState) -> None:
         """Give the free places to the requests that are next."""
         while not state.is_limit_in_use():
             waiting = state.line.take()
             if waiting is None:
                 return
-            assert isinstance(waiting, _Waiting)
+            assert isinstance(waiting, Waiting)
             if waiting.decided.done():
                 continue  # its caller has gone, but its task has not run yet
-            if self._run_s(state, waiting.request) > self._left_s(waiting.request):
+            if state.run_s(waiting.request) > self._left_s(waiting.request):
                 refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, 0)
                 self._decide(waiting, refusal)
                 continue
-            self._log_queued(state, waiting, "granted")
+            log_queued(state, waiting, "granted", self._waited_s(waiting))
             self._decide(waiting, self._grant(state, waiting.request))
 
     # --- called by permits and by the forwarder
 
-    def record_answer(self, state: _ServiceState, request: GateRequest, granted_at: float) -> None:
+    def record_answer(self, state: ServiceState, request: GateRequest, granted_at: float) -> None:
         """Record the latency of an answered request, and adjust the limit."""
         now = self._monotonic_s()
         latency = state.latencies.add(request.route.name, now - granted_at, now)
@@ -323,7 +211,7 @@
         elif state.limit.may_fall(now, latency.smoothed_s):
             if not self._free_slots(request.service):
                 state.limit.record_high_latency(now, latency.smoothed_s)
-        self._log_limit(state, request.service)
+        log_limit(state, request.service, now)
 
     def record_full(self, service: str) -> None:
         """Record that a back end of a service rejected a request because it was full."""
@@ -331,36 +219,24 @@
         if state is None or not self._contention.is_contended(service):
             return
         state.limit.record_rejection(self._monotonic_s(), state.expected_s())
-        self._log_limit(state, service)
+        log_limit(state, service, self._monotonic_s())
 
-    def try_hedge(self, state: _ServiceState, request: GateRequest, slow: str) -> bool:
+    def try_hedge(self, state: ServiceState, request: GateRequest, slow: str) -> bool:
         """Whether a request may be hedged; if so, the hedge occupies a place."""
         tokens = state.hedges.tokens
         refusal = state.hedges.try_take(len(state.line), state.running, state.limit.requests)
         if refusal is None:
             state.running += 1
             return True
-        log.info(
-            "hedge_withheld",
-            extra={
-                "request": request.inbound.id,
-                "service": request.service,
-                "slow": slow,
-                "cause": refusal.value,
-                "tokens": round(tokens, 2),
-                "line": len(state.line),
-                "running": state.running,
-                "limit": state.limit.requests,
-            },
-        )
+        log_hedge_withheld(state, request, slow, refusal, tokens)
         return False
 
-    def record_end(self, state: _ServiceState, granted_at: float) -> None:
+    def record_end(self, state: ServiceState, granted_at: float) -> None:
         """Record for how long a request occupied its place."""
         now = self._monotonic_s()
         state.drain.record_end(now - granted_at, now)
 
-    def dispatch(self, state: _ServiceState, service: str) -> None:
+    def dispatch(self, state: ServiceState, service: str) -> None:
         """Let the next requests run after places were given back."""
         self._refresh(state, service)
         self._dispatch(state)
@@ -371,7 +247,7 @@
         if not self._contention.is_contended(request.service):
             return None
         state = self._current_state(request.service)
-        return self._retry_after_s(state, request, self._drain_per_s(state, request))
+        return self._retry_after_s(state, request)
 
     def judge_anew(self) -> None:
         """Refuse the waiting requests that can no longer be answered in time.
@@ -386,28 +262,12 @@
     def _left_s(self, request: GateRequest) -> float:
         return request.give_up_at - self._boottime_s()
 
-    def _run_s(self, state: _ServiceState, request: GateRequest) -> float:
-        route = request.route
-        return state.latencies.typical_s(route.name, min(route.target_latency_s, route.timeout_s))
-
-    def _drain_per_s(self, state: _ServiceState, request: GateRequest) -> float:
-        assumed_s = request.route.target_latency_s
-        return state.drain.per_s(state.limit.requests, assumed_s, self._monotonic_s())
-
-    @staticmethod
-    def _place_of(state: _ServiceState, request: GateRequest) -> int:
-        return state.line.place_of(request.inbound.tenant, request.priority)
-
-    def _estimate(self, state: _ServiceState, request: GateRequest, place: int) -> AnswerEstimate:
-        drain_per_s = self._drain_per_s(state, request)
-        return estimate_answer(place, drain_per_s, self._run_s(state, request))
-
-    def _judge_line(self, state: _ServiceState) -> None:
+    def _judge_line(self, state: ServiceState) -> None:
         """Refuse every waiting request that can't be answered in time, in the order of the line."""
         place = 0
         for waiting in state.line.waiters():
-            assert isinstance(waiting, _Waiting)
-            estimate = self._estimate(state, waiting.request, place)
+            assert isinstance(waiting, Waiting)
+            estimate = state.estimate(waiting.request, place, self._monotonic_s())
             if estimate.fits(self._left_s(waiting.request)):
                 place += 1
             else:
@@ -422,14 +282,14 @@
                 self._refresh(state, service)
                 self._dispatch(state)
 
-    def _current_state(self, service: str) -> _ServiceState:
+    def _current_state(self, service: str) -> ServiceState:
         state = self._states.get(service)
         if state is None:
-            state = self._states[service] = _ServiceState(partial(self._order_of, service))
+            state = self._states[service] = ServiceState(partial(self._order_of, service))
         self._refresh(state, service)
         return state
 
-    def _refresh(self, state: _ServiceState, service: str) -> None:
+    def _refresh(self, state: ServiceState, service: str) -> None:
         """Count the slots again if back ends changed, and judge the line if some were lost."""
         if not state.are_slots_outdated:
             return
@@ -439,15 +299,15 @@
             usable_slots(slots_of(back_end)) for back_end in self._registry.of_service(service)
         )
         state.limit.set_slots(slots)
-        self._log_limit(state, service)
+        log_limit(state, service, self._monotonic_s())
         if not slots:
             self._refuse_all(state)
         elif slots < former_slots:
             self._judge_line(state)
 
-    def _refuse_all(self, state: _ServiceState) -> None:
+    def _refuse_all(self, state: ServiceState) -> None:
         while (waiting := state.line.take()) is not None:
-            assert isinstance(waiting, _Waiting)
+            assert isinstance(waiting, Waiting)
             refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END, 0)
             self._decide(waiting, refusal)
 
@@ -464,7 +324,7 @@
 
     def _refuse(
         self,
-        state: _ServiceState,
+        state: ServiceState,
         request: GateRequest,
         cause: RefusalCause,
         place: int,
@@ -477,82 +337,33 @@
 
         place : number of requests that would get their turn earlier.
         """
-        drain_per_s = self._drain_per_s(state, request)
-        estimate = self._estimate(state, request, place)
-        retry_after_s = self._retry_after_s(state, request, drain_per_s)
-        log.info(
-            "request_rejected_early",
-            extra={
-                "request": request.inbound.id,
-                "service": request.service,
-                "tenant": request.inbound.tenant,
-                "priority": request.priority,
-                "cause": cause.value,
-                "place": place,
-                "wait_s": round(estimate.wait_s, 3),
-                "run_s": round(estimate.run_s, 3),
-                "left_s": round(self._left_s(request), 3),
-                "waited_s": round(waited_s, 3),
-                "line": len(state.line),
-                "limit": state.limit.requests,
-                "drain_per_s": round(drain_per_s, 2),
-                "drain_age_s": self._drain_age_s(state),
-                "retry_after_s": round(retry_after_s, 3),
-            },
+        now = self._monotonic_s()
+        retry_after_s = self._retry_after_s(state, request)
+        log_refusal(
+            state,
+            request,
+            cause,
+            place,
+            state.estimate(request, place, now),
+            left_s=self._left_s(request),
+            waited_s=waited_s,
+            retry_after_s=retry_after_s,
+            now=now,
         )
         return Unavailable(cause.value, OUTCOME_NOT_RUN, retry_after_s)
 
     def _refuse_waiting(
-        self, state: _ServiceState, waiting: _Waiting, cause: RefusalCause, place: int
+        self, state: ServiceState, waiting: Waiting, cause: RefusalCause, place: int
     ) -> Unavailable:
-        waited_s = self._boottime_s() - waiting.arrived_at
-        return self._refuse(state, waiting.request, cause, place, waited_s)
+        return self._refuse(state, waiting.request, cause, place, self._waited_s(waiting))
 
-    def _retry_after_s(
-        self, state: _ServiceState, request: GateRequest, drain_per_s: float
-    ) -> float:
-        drain_s = (len(state.line) + 1) / drain_per_s
+    def _retry_after_s(self, state: ServiceState, request: GateRequest) -> float:
+        drain_s = (len(state.line) + 1) / state.drain_per_s(request, self._monotonic_s())
         left_s = request.inbound.deadline - self._boottime_s()
         return choose_retry_after_s(drain_s, left_s, self._generator)
 
-    def _drain_age_s(self, state: _ServiceState) -> float | None:
-        """Seconds since the newest figure of the drain rate; None if there is none."""
-        age_s = state.drain.age_s(self._monotonic_s())
-        return round(age_s, 3) if age_s != float("inf") else None
-
-    def _log_queued(self, state: _ServiceState, waiting: _Waiting, outcome: str) -> None:
-        log.info(
-            "request_queued",
-            extra={
-                "request": waiting.request.inbound.id,
-                "service": waiting.request.service,
-                "tenant": waiting.tenant,
-                "priority": waiting.priority,
-                "place": waiting.place,
-                "waited_s": round(self._boottime_s() - waiting.arrived_at, 3),
-                "limit": state.limit.requests,
-                "line": len(state.line),
-                "outcome": outcome,
-            },
-        )
-
-    def _log_limit(self, state: _ServiceState, service: str) -> None:
-        """Log a changed limit, at most once in each `LIMIT_LOG_INTERVAL_S`."""
-        now, requests = self._monotonic_s(), state.limit.requests
-        if requests == state.logged_limit or now - state.logged_at < LIMIT_LOG_INTERVAL_S:
-            return
-        log.info(
-            "concurrency_limit_changed",
-            extra={
-                "service": service,
-                "old": state.logged_limit,
-                "new": requests,
-                "cause": state.limit.cause.value,
-                "slots": state.limit.slots,
-                "running": state.running,
-            },
-        )
-        state.logged_limit, state.logged_at = requests, now
+    def _waited_s(self, waiting: Waiting) -> float:
+        return self._boottime_s() - waiting.arrived_at
 
     def limit_total(self) -> int:
         """Return the sum of the limits of all contended services that got requests."""
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -16,8 +16,9 @@
 from dataclasses import dataclass, field, replace
 
 from crankseam import clocks
-from crankseam.overload.gate import OverloadGate, Permit
+from crankseam.overload.gate import OverloadGate
 from crankseam.overload.messages import GateRequest
+from crankseam.overload.permits import Permit
 from crankseam.quarantine.crash_guard import CrashGuard
 from crankseam.quarantine.holding import default_crash_limit
 from crankseam.quarantine.model import RequestIdentity
