--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -432,3 +432,22 @@
     only.add_back_end("negative", slots=-5)
     with pytest.raises(Unavailable):
         await only.gate.enter(only.request())
+
+
+@virtual
+async def test_a_place_that_appears_while_streams_run_is_given_to_who_waits():
+    """The head of a stream raises the limit long before the stream gives its place back."""
+    rig = Rig(slots=2)
+    streams = [await rig.gate.enter(rig.request()) for _ in range(2)]
+    rig.gate.record_full(SERVICE)
+    streams.pop().release()
+    assert rig.state.limit.requests == 1 and rig.state.is_limit_in_use()
+    waiting = rig.enter("q1")
+    await settle()
+    assert not waiting.done()
+    streams[0].record_answer()
+    assert rig.state.limit.requests == 2
+    await settle()
+    assert waiting.done()
+    waiting.result().release()
+    streams[0].release()
