--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -212,6 +212,8 @@
             if not self._free_slots(request.service):
                 state.limit.record_high_latency(now, latency.smoothed_s)
         log_limit(state, request.service, now)
+        if len(state.line):
+            self.dispatch(state, request.service)  # the place of a stream is given back much later
 
     def record_full(self, service: str) -> None:
         """Record that a back end of a service rejected a request because it was full."""
