A request that back ends rejected too often returns to the line while it can be answered

It was refused after four rejections even with time left and a short line, so that its caller had to come back. At a contended service it now gives its place back and enters the gate again with its old deadline: it waits in order, or is refused by the estimate, as not run. Not if it may have run, and at most three times, which bounds the attempts that full back ends reject (16) and the log line. Other services as before. The effect under load is not measured.

--- a/src/crankseam/overload/permits.py
+++ b/src/crankseam/overload/permits.py
@@ -50,6 +50,11 @@
         self._hedges = 0
         self._state = state
 
+    @property
+    def is_limited(self) -> bool:
+        """Whether the service is limited and the place was not given back."""
+        return self._state is not None
+
     def record_answer(self) -> None:
         """Record that the request succeeded without a rejection by a back end."""
         if self._state is not None:
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -16,6 +16,7 @@
 from dataclasses import dataclass, field, replace
 
 from crankseam import clocks
+from crankseam.errors import Unavailable
 from crankseam.overload.gate import OverloadGate
 from crankseam.overload.messages import GateRequest
 from crankseam.overload.permits import Permit
@@ -46,7 +47,7 @@
 """Lowest HTTP status of an answer that may have come without the work of its route being done."""
 
 
-@dataclass(frozen=True)
+@dataclass
 class _Forwarding:
     """State of one request that is being forwarded.
 
@@ -54,6 +55,7 @@
     ==========
 
     give_up_at : time, in seconds of `clocks.boottime_s`, at which the request is given up.
+    permit : the place of the request; another one after it returned to the waiting line.
     """
 
     request: InboundRequest
@@ -62,6 +64,7 @@
     give_up_at: float
     tracker: RequestTracker
     permit: Permit
+    gate_request: GateRequest
     history: AttemptHistory = field(default_factory=AttemptHistory)
 
 
@@ -120,7 +123,7 @@
         await tracker.admit()
         gate_request = GateRequest(request, route, service, give_up_at)
         permit = await self._enter_gate(gate_request, tracker)
-        forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit)
+        forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit, gate_request)
         history = forwarding.history
         answer: Answer | StreamingAnswer | None = None
         try:
@@ -128,14 +131,14 @@
             async with asyncio.timeout_at(loop_deadline):
                 answer = await self._attempt_until_answered(forwarding)
             if answer is not None and not history.rejections and _is_success(answer):
-                permit.record_answer()
+                forwarding.permit.record_answer()
         except TimeoutError:
             answer = None
             history.reasons.append(retry.give_up_reason(request, route))
         finally:
             if not isinstance(answer, StreamingAnswer):
                 tracker.close()
-                permit.release(may_have_run=history.began_at is not None)
+                forwarding.permit.release(may_have_run=history.began_at is not None)
             if history.began_at is not None:
                 for notify in self.on_started:
                     notify(request.tenant, history.began_at)
@@ -148,7 +151,7 @@
                 retry_after_s = retry.RETRY_AFTER_NO_BACK_END_S
             raise retry.give_up_problem(history, retry_after_s)
         if isinstance(answer, StreamingAnswer):
-            return replace(answer, chunks=permit.hold_during(answer.chunks))
+            return replace(answer, chunks=forwarding.permit.hold_during(answer.chunks))
         return answer
 
     async def _enter_gate(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
@@ -166,7 +169,9 @@
         while retry.has_attempts_left(route, history):
             if clocks.boottime_s() >= forwarding.give_up_at:
                 raise TimeoutError
-            if retry.is_rejected_too_often(history) or not forwarding.tracker.may_send():
+            if retry.is_rejected_too_often(history) and not await self._return_to_line(forwarding):
+                return None
+            if not forwarding.tracker.may_send():
                 return None
             first = self._choose(forwarding)
             if first is None:
@@ -181,6 +186,20 @@
                 await asyncio.sleep(retry.REJECTION_PAUSE_S)
         return None
 
+    async def _return_to_line(self, forwarding: _Forwarding) -> bool:
+        """Give the place back after many rejections and wait for another one; False if refused."""
+        history = forwarding.history
+        if not forwarding.permit.is_limited or not retry.may_return_to_line(history):
+            return False
+        forwarding.permit.release(may_have_run=False)
+        try:
+            forwarding.permit = await self._gate.enter(forwarding.gate_request)
+        except Unavailable as refusal:
+            history.reasons.append(refusal.detail)
+            return False
+        history.record_return()
+        return True
+
     def _choose(self, forwarding: _Forwarding) -> BackEnd | None:
         history = forwarding.history
         now = clocks.monotonic_s()
--- a/src/crankseam/serving/retry.py
+++ b/src/crankseam/serving/retry.py
@@ -4,8 +4,9 @@
 of the caller; the outcomes of the attempts so far. All belong to the request, so none can be stale.
 Points in time are in seconds of the suspend-aware clock, `clocks.boottime_s`.
 Rule: A repeatable request may run `max_attempts` times, any other request once. A rejected attempt
-did not run and does not count, but the request is given up after `MAX_REJECTIONS` rejections. If
-the first attempt of a repeatable request is slow, a second one is started concurrently at another
+did not run and does not count, but after `MAX_REJECTIONS` rejections the request is given up; at a
+contended service it returns to the waiting line before, up to `MAX_LINE_RETURNS` times. If the
+first attempt of a repeatable request is slow, a second one is started concurrently at another
 back end, and the first answer is used. A request is given up at the deadline of the caller or the
 timeout of the route, whichever is earlier. "Not run" is reported only if no attempt may have run.
 Purpose: Prevents requests that may run only once from running twice, and protects callers from slow
@@ -32,6 +33,9 @@
 MAX_REJECTIONS = 4
 """Number of rejections after which a request is given up. The caller retries after a pause,
 possibly at another process that has newer load reports."""
+MAX_LINE_RETURNS = 3
+"""Number of times that a request returns to the waiting line of a contended service after
+`MAX_REJECTIONS` rejections. It bounds the attempts that full back ends have to reject."""
 REJECTION_PAUSE_S = 0.02
 """Seconds between a broken or rejected attempt and the next one, once any back end has rejected the
 request."""
@@ -62,7 +66,9 @@
 
     tried : ids of the back ends that the request was sent to.
     may_have_run : number of attempts that are running or may have run; excludes rejected ones.
-    rejections : number of attempts that a back end did not run and never will.
+    rejections : number of attempts that a back end did not run and never will, since the request
+        last got a place.
+    line_returns : number of times that the request returned to the waiting line.
     last_failure : most recent answer with a server error.
     reasons : one text for each attempt that did not complete the request, and finally the reason
         for which the request was given up.
@@ -72,6 +78,7 @@
     tried: set[str] = field(default_factory=set)
     may_have_run: int = 0
     rejections: int = 0
+    line_returns: int = 0
     last_failure: Answer | None = None
     reasons: list[str] = field(default_factory=list)
     began_at: float | None = None
@@ -87,6 +94,11 @@
         self.rejections += 1
         self.reasons.append(f"{back_end_id}: {reason}")
 
+    def record_return(self) -> None:
+        """Record that the request got another place after it returned to the waiting line."""
+        self.line_returns += 1
+        self.rejections = 0
+
     def record_broken(self, back_end_id: str, reason: str) -> None:
         """Record that an attempt gave no complete answer."""
         self.reasons.append(f"{back_end_id}: {reason}")
@@ -124,6 +136,14 @@
     return history.rejections >= MAX_REJECTIONS
 
 
+def may_return_to_line(history: AttemptHistory) -> bool:
+    """Whether a request that was rejected too often may wait for another place.
+
+    Not if it may have run: the line refuses requests as "not run".
+    """
+    return history.began_at is None and history.line_returns < MAX_LINE_RETURNS
+
+
 def may_reuse_back_ends(history: AttemptHistory) -> bool:
     """Whether back ends that were already tried may be tried again if there is no other.
 
