--- a/tests/overload/test_line.py
+++ b/tests/overload/test_line.py
@@ -1,6 +1,8 @@
 """The waiting line under bursts: its order, its bounds, and that nobody starves."""
 
 import heapq
+import itertools
+import math
 
 import pytest
 from hypothesis import given
@@ -167,3 +169,29 @@
     for number in range(6):
         line.add(waiter(number, tenant=f"t{number % 3}"))
     assert len(list(take_all(line))) == 6
+
+
+@pytest.mark.parametrize("others", [1, 5, 50])
+def test_a_tenant_whose_start_fell_is_next_after_at_most_as_many_as_tenants_wait(others):
+    """A start falls if a tenant comes back, or if the configuration has no tenants any more."""
+    starts = {"back": math.inf}
+
+    class Starts(ArrivalOrder):
+        def start_of(self, tenant):
+            return starts.get(tenant, 5.0)
+
+    line = WaitingLine(lambda _priority: Starts())
+    numbers = itertools.count()
+
+    def arrive(tenant):
+        line.add(Waiter(tenant, 0, 30.0, 0, next(numbers)))
+
+    for tenant in ["back", *(f"t{number}" for number in range(others))]:
+        arrive(tenant)
+    starts["back"] = 0.0
+    for _ in range(others + 2):
+        taken = line.take()
+        if taken.tenant == "back":
+            return
+        arrive(taken.tenant)
+    raise AssertionError("it waits behind all that arrive")
