--- a/src/crankseam/overload/line.py
+++ b/src/crankseam/overload/line.py
@@ -12,8 +12,9 @@
 Logged as: `request_queued`, `request_rejected_early`.
 Tested by: tests/overload/test_line.py.
 
-Cost: taking, adding and removing are O(log n) in the waiting requests. Finding a place in the line
-or a victim is linear in the tenants and priorities that wait, not in their requests.
+Cost: taking, adding and removing are O(log n) in the waiting requests, averaged over many of them.
+Finding a place in the line or a victim is linear in the tenants and priorities that wait, not in
+their requests.
 """
 
 from __future__ import annotations
@@ -145,6 +146,7 @@
     order : order among the tenants.
     queue : heap of the tenants. An entry whose key is no longer that of its tenant is outdated.
     passed_over : number of requests in a row that went first from more urgent priorities.
+    looked_up : number of times that the next waiter was looked up since all keys were renewed.
     """
 
     order: FairOrder
@@ -152,6 +154,7 @@
     queue: list[tuple[_TenantKey, str]] = field(default_factory=list)
     count: int = 0
     passed_over: int = 0
+    looked_up: int = 0
 
     def add(self, waiter: Waiter) -> None:
         line = self.tenants.get(waiter.tenant)
@@ -172,8 +175,13 @@
         """Return the next waiter; requires that one waits.
 
         Keys that have grown since they were queued are corrected when they reach the head, each at
-        most once, so that this ends even if the order changes by itself.
+        most once, so that this ends even if the order changes by itself. Keys that have become
+        smaller, as that of a tenant that came back, are corrected when all keys are renewed, which
+        happens once in as many look-ups as tenants wait.
         """
+        self.looked_up += 1
+        if self.looked_up >= len(self.tenants):
+            self._renew_keys()
         corrected: set[str] = set()
         while True:
             key, name = self.queue[0]
@@ -202,6 +210,12 @@
         if len(self.queue) > 2 * len(self.tenants) + MIN_COMPACTED:
             self._compact()
 
+    def _renew_keys(self) -> None:
+        self.looked_up = 0
+        for line in self.tenants.values():
+            line.key = _TenantKey(self.order.start_of(line.name), line.first()[0])
+        self._compact()
+
     def _compact(self) -> None:
         lines = self.tenants.values()
         self.queue = [(line.key, line.name) for line in lines if line.key is not None]
