--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -451,3 +451,18 @@
     assert waiting.done()
     waiting.result().release()
     streams[0].release()
+
+
+@virtual
+async def test_who_has_gone_is_logged_as_gone_and_not_as_refused_too():
+    rig = Rig(slots=1)
+    permit = await rig.gate.enter(rig.request())
+    waiting = rig.enter("gone")
+    await settle()
+    with LoggedEvents() as events:
+        waiting.cancel()
+        rig.registry.remove("b0")
+        await settle()
+    assert [line.outcome for line in events.named("request_queued")] == ["cancelled"]
+    assert not events.named("request_rejected_early")
+    permit.release()
