--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -134,8 +134,7 @@
             raise self._refuse(state, request, RefusalCause.LINE_FULL, place)
         if isinstance(displaced, Waiting):
             place = state.place_of(displaced.request)
-            refusal = self._refuse_waiting(state, displaced, RefusalCause.DISPLACED, place)
-            self._decide(displaced, refusal)
+            self._refuse_waiting(state, displaced, RefusalCause.DISPLACED, place)
         return waiting
 
     def _abandon(self, state: ServiceState, waiting: Waiting) -> None:
@@ -165,13 +164,7 @@
         """Refuse a waiting request that can no longer be answered in time."""
         if waiting.is_waiting and not waiting.decided.done():
             state.line.remove(waiting)
-            refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, place)
-            self._decide(waiting, refusal)
-
-    @staticmethod
-    def _decide(waiting: Waiting, decision: Permit | Unavailable) -> None:
-        if not waiting.decided.done():
-            waiting.decided.set_result(decision)
+            self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, place)
 
     def _grant(self, state: ServiceState, request: GateRequest) -> Permit:
         state.running += 1
@@ -193,11 +186,10 @@
             if waiting.decided.done():
                 continue  # its caller has gone, but its task has not run yet
             if state.run_s(waiting.request) > self._left_s(waiting.request):
-                refusal = self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, 0)
-                self._decide(waiting, refusal)
+                self._refuse_waiting(state, waiting, RefusalCause.ESTIMATE, 0)
                 continue
             log_queued(state, waiting, "granted", self._waited_s(waiting))
-            self._decide(waiting, self._grant(state, waiting.request))
+            waiting.decided.set_result(self._grant(state, waiting.request))
 
     # --- called by permits and by the forwarder
 
@@ -310,8 +302,7 @@
     def _refuse_all(self, state: ServiceState) -> None:
         while (waiting := state.line.take()) is not None:
             assert isinstance(waiting, Waiting)
-            refusal = self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END, 0)
-            self._decide(waiting, refusal)
+            self._refuse_waiting(state, waiting, RefusalCause.NO_BACK_END, 0)
 
     def _free_slots(self, service: str) -> int:
         """Return how many slots are known to be free; those of avoided back ends do not count."""
@@ -356,8 +347,12 @@
 
     def _refuse_waiting(
         self, state: ServiceState, waiting: Waiting, cause: RefusalCause, place: int
-    ) -> Unavailable:
-        return self._refuse(state, waiting.request, cause, place, self._waited_s(waiting))
+    ) -> None:
+        """Refuse a request that has left the line; does nothing if its caller has gone."""
+        if waiting.decided.done():
+            return
+        waited_s = self._waited_s(waiting)
+        waiting.decided.set_result(self._refuse(state, waiting.request, cause, place, waited_s))
 
     def _retry_after_s(self, state: ServiceState, request: GateRequest) -> float:
         drain_s = (len(state.line) + 1) / state.drain_per_s(request, self._monotonic_s())
