--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -15,9 +15,10 @@
 Logged as: `request_queued`, `request_rejected_early`, `concurrency_limit_changed`,
 `hedge_withheld`.
 Tested by: tests/overload/test_gate.py, tests/overload/test_gate_machine.py,
-tests/platform/test_overload.py.
+tests/overload/test_forwarded_answers.py, tests/platform/test_overload.py.
 
-All state is that of one process and is lost with it. A refused request was sent to nobody.
+All state is that of one process and is lost with it. A refused request ran nowhere: it was not
+sent, or, if it returned to the line, all back ends rejected it that it was sent to.
 """
 
 from __future__ import annotations
@@ -84,7 +85,7 @@
         Raises
         ======
 
-        Unavailable : the request was refused and not sent to any back end.
+        Unavailable : the request was refused and must not be sent.
         """
         if not self._contention.is_contended(request.service):
             return Permit(self, None, request, self._monotonic_s())
@@ -103,7 +104,7 @@
 
     async def _wait(self, state: ServiceState, request: GateRequest, place: int) -> Permit:
         waiting = self._join(state, request, place)
-        self._check_patience(state, waiting)
+        self._check_time_left(state, waiting)
         try:
             decision = await waiting.decided
         except asyncio.CancelledError:
@@ -147,18 +148,18 @@
             state.line.remove(waiting)
             log_queued(state, waiting, "cancelled", self._waited_s(waiting))
 
-    def _check_patience(self, state: ServiceState, waiting: Waiting) -> None:
+    def _check_time_left(self, state: ServiceState, waiting: Waiting) -> None:
         """Refuse a request if its typical duration no longer fits, else check again later.
 
         The typical duration may have become shorter since the request arrived. If it became longer,
         the request is judged when its turn comes.
         """
-        patience_s = self._left_s(waiting.request) - state.run_s(waiting.request)
-        if patience_s <= 0.0:
+        spare_s = self._left_s(waiting.request) - state.run_s(waiting.request)
+        if spare_s <= 0.0:
             self._expire(state, waiting, state.place_of(waiting.request))
             return
         loop = asyncio.get_running_loop()
-        waiting.timer = loop.call_later(patience_s, self._check_patience, state, waiting)
+        waiting.timer = loop.call_later(spare_s, self._check_time_left, state, waiting)
 
     def _expire(self, state: ServiceState, waiting: Waiting, place: int) -> None:
         """Refuse a waiting request that can no longer be answered in time."""
--- a/src/crankseam/overload/gate_log.py
+++ b/src/crankseam/overload/gate_log.py
@@ -28,7 +28,7 @@
     retry_after_s: float,
     now: float,
 ) -> None:
-    """Log that a request was refused before it was sent.
+    """Log that a request was refused at the gate.
 
     Parameters
     ==========
--- a/src/crankseam/overload/messages.py
+++ b/src/crankseam/overload/messages.py
@@ -12,7 +12,7 @@
 
 
 class RefusalCause(enum.Enum):
-    """Why a request was refused before it was sent."""
+    """Why a request was refused at the gate."""
 
     ESTIMATE = "no answer in time"
     LINE_FULL = "line full"
