--- a/src/crankseam/overload/line.py
+++ b/src/crankseam/overload/line.py
@@ -12,8 +12,9 @@
 Logged as: `request_queued`, `request_rejected_early`.
 Tested by: tests/overload/test_line.py.
 
-Cost: taking, adding and removing are O(log n) in the waiting requests. Finding a place in the line
-or a victim is linear in the tenants and priorities that wait, not in their requests.
+Cost: taking, adding and removing are O(log n) in the waiting requests, averaged over many of them.
+Finding a place in the line or a victim is linear in the tenants and priorities that wait, not in
+their requests.
 """
 
 from __future__ import annotations
@@ -76,6 +77,18 @@
     first: _WaiterKey
 
 
+class _TurnKey(NamedTuple):
+    """Sort key of a waiter among all, if the tenants of a priority take turns.
+
+    `turn` is the number of earlier waiters of its tenant and priority.
+    """
+
+    priority: int
+    turn: int
+    deadline: float
+    number: int
+
+
 @dataclass(slots=True)
 class _TenantLine:
     """Waiting requests of one tenant and priority.
@@ -133,6 +146,7 @@
     order : order among the tenants.
     queue : heap of the tenants. An entry whose key is no longer that of its tenant is outdated.
     passed_over : number of requests in a row that went first from more urgent priorities.
+    looked_up : number of times that the next waiter was looked up since all keys were renewed.
     """
 
     order: FairOrder
@@ -140,6 +154,7 @@
     queue: list[tuple[_TenantKey, str]] = field(default_factory=list)
     count: int = 0
     passed_over: int = 0
+    looked_up: int = 0
 
     def add(self, waiter: Waiter) -> None:
         line = self.tenants.get(waiter.tenant)
@@ -160,8 +175,13 @@
         """Return the next waiter; requires that one waits.
 
         Keys that have grown since they were queued are corrected when they reach the head, each at
-        most once, so that this ends even if the order changes by itself.
+        most once, so that this ends even if the order changes by itself. Keys that have become
+        smaller, as that of a tenant that came back, are corrected when all keys are renewed, which
+        happens once in as many look-ups as tenants wait.
         """
+        self.looked_up += 1
+        if self.looked_up >= len(self.tenants):
+            self._renew_keys()
         corrected: set[str] = set()
         while True:
             key, name = self.queue[0]
@@ -190,6 +210,12 @@
         if len(self.queue) > 2 * len(self.tenants) + MIN_COMPACTED:
             self._compact()
 
+    def _renew_keys(self) -> None:
+        self.looked_up = 0
+        for line in self.tenants.values():
+            line.key = _TenantKey(self.order.start_of(line.name), line.first()[0])
+        self._compact()
+
     def _compact(self) -> None:
         lines = self.tenants.values()
         self.queue = [(line.key, line.name) for line in lines if line.key is not None]
@@ -228,10 +254,22 @@
         return self._count
 
     def waiters(self) -> list[Waiter]:
-        """Return all waiting requests, the most urgent priority and earliest deadline first."""
-        lines = [line for each in self._priorities.values() for line in each.tenants.values()]
-        waiting = [waiter for line in lines for waiter in line.by_arrival if waiter.is_waiting]
-        return sorted(waiting, key=lambda each: (each.priority, each.deadline, each.number))
+        """Return all waiting requests in the order that `place_of` assumes.
+
+        The most urgent priority goes first; within it the tenants take turns, and each sends its
+        earliest deadline.
+        """
+        keyed: list[tuple[_TurnKey, Waiter]] = []
+        for priority, priority_line in self._priorities.items():
+            for line in priority_line.tenants.values():
+                waiting = [each for each in line.by_arrival if each.is_waiting]
+                waiting.sort(key=lambda each: (each.deadline, each.number))
+                keyed.extend(
+                    (_TurnKey(priority, turn, each.deadline, each.number), each)
+                    for turn, each in enumerate(waiting)
+                )
+        keyed.sort(key=lambda entry: entry[0])
+        return [waiter for _, waiter in keyed]
 
     def place_of(self, tenant: str, priority: int) -> int:
         """Return how many waiting requests go before a new one, if no more arrive.
--- a/tests/overload/test_gate.py
+++ b/tests/overload/test_gate.py
@@ -347,3 +347,122 @@
     assert rig.state.running == 1
     await unread.aclose()
     assert rig.state.running == 0
+
+
+@virtual
+async def test_a_request_waits_on_if_its_duration_turns_out_shorter_than_was_assumed():
+    """Its patience is that of now, not the one of its arrival: it can be answered until 2.9 s."""
+    rig = Rig(slots=1)
+    stream = await rig.gate.enter(rig.request())
+    waiting = rig.enter("q1", left_s=3.0)
+    await asyncio.sleep(0.1)
+    stream.record_answer()  # the head of a stream, whose body still occupies the place
+    await asyncio.sleep(2.4)
+    assert not waiting.done()
+    stream.release()
+    (await waiting).release()
+
+
+@virtual
+async def test_a_waiter_whose_duration_shrank_is_refused_when_the_shorter_one_does_not_fit():
+    rig = Rig(slots=1)
+    stream = await rig.gate.enter(rig.request())
+    waiting = rig.enter("q1", left_s=3.0)
+    await asyncio.sleep(0.1)
+    stream.record_answer()
+    await asyncio.sleep(2.81)
+    with pytest.raises(Unavailable):
+        await waiting
+    stream.release()
+
+
+@virtual
+async def test_a_lost_back_end_makes_the_last_of_a_large_tenant_too_late_not_the_small_tenant():
+    """Tenants take turns, so the only request of the small one is second, whatever its deadline."""
+    rig = Rig(back_ends=10, slots=1)
+    for _ in range(10):
+        await rig.gate.enter(rig.request())
+    large = [rig.enter(f"q{number}", left_s=9.9, tenant="large") for number in range(85)]
+    small = rig.enter("small", left_s=9.95, tenant="small")
+    await settle()
+    assert not any(task.done() for task in [*large, small])
+    for number in range(5):
+        rig.registry.remove(f"b{number}")
+    await settle()
+    assert sum(task.done() for task in large) > 30
+    assert not small.done()
+
+
+@virtual
+async def test_refusing_a_whole_line_of_many_tenants_counts_no_place_for_each_refusal():
+    """A place costs time in the tenants that wait; counted for each refusal it would be squared."""
+    for has_suspension in (True, False):
+        rig, counted = Rig(slots=1), []
+        permit = await rig.gate.enter(rig.request())
+        tasks = [rig.enter(f"q{n}", left_s=1e5, tenant=f"t{n}") for n in range(500)]
+        await settle()
+
+        class CountingLine(WaitingLine):
+            def place_of(self, tenant, priority, counted=counted):
+                counted.append(tenant)
+                return super().place_of(tenant, priority)
+
+        rig.state.line.__class__ = CountingLine
+        if has_suspension:
+            rig.suspended_s += 2e5
+            rig.gate.judge_anew()
+        else:
+            rig.registry.remove("b0")
+        results = await asyncio.gather(*tasks, return_exceptions=True)
+        assert all(isinstance(result, Unavailable) for result in results)
+        assert not counted
+        permit.release()
+
+
+@virtual
+async def test_absurd_slots_of_one_back_end_neither_take_those_of_others_nor_fail():
+    for absurd in (-5, 10**400):
+        rig = Rig(back_ends=2, slots=2)
+        rig.add_back_end("absurd", slots=absurd)
+        permits = [await rig.gate.enter(rig.request()) for _ in range(4)]
+        for permit in permits:
+            permit.record_answer()
+            permit.release()
+    only = Rig(back_ends=0)
+    only.add_back_end("negative", slots=-5)
+    with pytest.raises(Unavailable):
+        await only.gate.enter(only.request())
+
+
+@virtual
+async def test_a_place_that_appears_while_streams_run_is_given_to_who_waits():
+    """The head of a stream raises the limit long before the stream gives its place back."""
+    rig = Rig(slots=2)
+    streams = [await rig.gate.enter(rig.request()) for _ in range(2)]
+    rig.gate.record_full(SERVICE)
+    streams.pop().release()
+    assert rig.state.limit.requests == 1 and rig.state.is_limit_in_use()
+    waiting = rig.enter("q1")
+    await settle()
+    assert not waiting.done()
+    streams[0].record_answer()
+    assert rig.state.limit.requests == 2
+    await settle()
+    assert waiting.done()
+    waiting.result().release()
+    streams[0].release()
+
+
+@virtual
+async def test_who_has_gone_is_logged_as_gone_and_not_as_refused_too():
+    rig = Rig(slots=1)
+    permit = await rig.gate.enter(rig.request())
+    waiting = rig.enter("gone")
+    await settle()
+    with LoggedEvents() as events:
+        waiting.cancel()
+        rig.registry.remove("b0")
+        await settle()
+    assert [line.outcome for line in events.named("request_queued")] == ["cancelled"]
+    assert not events.named("request_rejected_early")
+    permit.release()
