--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -168,7 +168,8 @@
     ),
     "request_rejected_early": LogEvent(
         "A request was refused before it was sent, or when it returned to the line after"
-        " rejections, as `cause` says. `wait_s` and `run_s` are estimated, `left_s` is what it had left; the drain rate is `drain_age_s` old.",
+        " rejections, as `cause` says. `wait_s` and `run_s` are estimated, `left_s` is what"
+        " it had left; the drain rate is `drain_age_s` old.",
         (
             "request",
             "service",
