In a service of few samplers, each sampler hosts all models that it has loaded

Cause: with two models, each of which must have three samplers, four samplers host several models. Such a sampler counted as hosting only the model with which it was the least behind, so the other model lost it, and took the one that the first had just given up: one needless load.

Change: if the models must have more samplers together than there are, a sampler hosts every model that it has loaded.

--- a/src/crankseam/orders/capacity_assignment.py
+++ b/src/crankseam/orders/capacity_assignment.py
@@ -173,8 +173,11 @@
         """Return the models that each sampler hosts, by sampler id.
 
         A sampler has loaded a model if its version is not the oldest one anywhere. Of the models
-        that it has loaded, it hosts those with which it is the least behind.
+        that it has loaded, it hosts those with which it is the least behind. If there are fewer
+        samplers than all models get at least, some host several models, and each sampler hosts all
+        that it has loaded.
         """
+        hosts_several = self._min_count() * len(self._models) > len(self._samplers)
         oldest = {model: max(lags.values()) for model, lags in self._lags.items()}
         hosted: dict[str, set[str]] = {}
         for sampler in self._samplers:
@@ -183,19 +186,24 @@
                 model: lags[key] for model, lags in self._lags.items() if lags[key] < oldest[model]
             }
             least = min(loaded.values(), default=0)
-            hosted[key] = {model for model, lag in loaded.items() if lag == least}
+            hosted[key] = {model for model, lag in loaded.items() if hosts_several or lag == least}
         return hosted
 
+    def _min_count(self) -> int:
+        """Return the number of samplers that each model gets at least."""
+        return min(len(self._samplers), max(1, LOADS_PER_STEP // len(self._models)))
+
     def _nothing_assigned(self, part: ModelPart, total: float, slots: float) -> _Assigned:
         target = part.share * total
         needed = float("inf")
         if part.open_items is not None:
             needed = max(LOADS_PER_STEP * slots, SLOTS_PER_OPEN_ITEM * part.open_items)
-        min_count = min(len(self._samplers), max(1, LOADS_PER_STEP // len(self._models)))
         tolerance = ROUNDING_FRACTION * total / len(self._samplers)
         # Filling up ends with the sampler that brings the capacity to within the tolerance.
         max_surplus = max(self._capacities.values()) - tolerance
-        return _Assigned(min(target, needed), needed < target, tolerance, max_surplus, min_count)
+        return _Assigned(
+            min(target, needed), needed < target, tolerance, max_surplus, self._min_count()
+        )
 
     def compute(self) -> dict[str, list[BackEnd]]:
         """Return the assigned samplers by model."""
--- a/tests/orders/test_capacity_assignment.py
+++ b/tests/orders/test_capacity_assignment.py
@@ -91,9 +91,10 @@
 
 
 def test_no_model_gains_a_sampler_where_a_model_is_loaded_on_all_samplers():
-    """Fault: a model that is loaded everywhere counts as hosted nowhere until it is loaded again.
+    """Both models must have three of four samplers, so some samplers host both.
 
-    Another model that must have three of four samplers then takes one that the model gave up.
+    Fault: such a sampler counted as hosting only the model with which it was the least behind. The
+    other model then took the sampler that the first had given up.
     """
     parts = {"m0": ModelPart(1.943 / 2.443, None, 1.943), "m1": ModelPart(0.5 / 2.443, None, 0.5)}
     check_that_no_model_gains_a_sampler(4, parts, 403)
