Failing tests: absurd stored values, jobs of unknown work that stay, and the cost of many open jobs

- A stored due time that is infinite needs no slots, and combining such jobs divides by zero in every process that follows the key.
A work or pace that is not a number gives shares that never change.
- A pace of 0 in another process's table divides by zero in each pass of the coordinator.
A negative number of slots gives a negative capacity.
- A job whose work is unknown keeps its model's work unknown, however late, so that no share of the service changes while its key stays.

--- a/tests/jobs/test_demand.py
+++ b/tests/jobs/test_demand.py
@@ -1,3 +1,5 @@
+import math
+
 import msgspec
 import pytest
 
@@ -9,7 +11,13 @@
     OpenJob,
     decode_open_job,
 )
-from crankseam.jobs.due_work import MIN_OPEN_WORK_FRACTION, NEED_RETENTION_S, UNKNOWN_DUE_S
+from crankseam.jobs.due_work import (
+    MAX_LATE_S,
+    MIN_OPEN_WORK_FRACTION,
+    NEED_RETENTION_S,
+    UNKNOWN_DUE_S,
+    due_work,
+)
 from crankseam.orders.demand import ModelWork
 from tests.support.clock import FakeClock
 
@@ -129,3 +137,59 @@
     demand.opened("j2", OpenJob("m", 10, item_s=1.0, priority=0, work_s=10.0, due_s=5.0))
     urgent = demand.due_work("m").due[0]
     assert urgent.priority == 0 and urgent.needed_slots == pytest.approx(4.0, rel=0.01)
+
+
+ABSURD = [math.nan, math.inf, -math.inf, -1.0, 1e308]
+
+
+@pytest.mark.parametrize("value", ABSURD)
+@pytest.mark.parametrize("name", ["item_s", "work_s", "longest_item_s", "due_s"])
+def test_a_stored_value_that_no_job_can_have_counts_as_unknown(name, value):
+    """Guards against a division by zero, or a share that is not a number, for all processes."""
+    stated = {"item_s": 1.0, "work_s": 80.0, "longest_item_s": 4.0, "due_s": 8.0}
+    jobs = [OpenJob("m", 10, priority=0, **stated | {name: field}) for field in (value, 0.0)]
+    read = [decode_open_job(msgspec.msgpack.encode(job)) for job in jobs]
+    assert read[0] == read[1]
+    demand = ModelDemand()
+    demand.opened("j1", read[0])
+    demand.opened("j2", read[0])
+    assert math.isfinite(demand.due_work("m").needed_slots)
+
+
+def test_a_negative_number_of_items_counts_as_none():
+    demand = ModelDemand()
+    demand.opened("j1", decode_open_job(msgspec.msgpack.encode(OpenJob("m", -5, item_s=1.0))))
+    assert demand.due_work("m") == ModelWork() and demand.peak_open_items("m") is None
+
+
+def test_a_job_of_unknown_work_that_nobody_ends_does_not_make_the_model_unknown(monkeypatch):
+    """Else the shares of its service would not change again until its key is gone."""
+    clock = FakeClock()
+    monkeypatch.setattr(module, "time", clock)
+    demand = ModelDemand()
+    demand.opened("j1", OpenJob("m", 10, priority=0, due_s=8.0))
+    clock.now = 8.0 + MAX_LATE_S
+    assert demand.due_work("m") is None
+    clock.now += 0.1
+    assert demand.due_work("m") == ModelWork()
+
+
+def test_ten_thousand_jobs_cost_no_more_than_a_few_looks_at_each(monkeypatch):
+    """A process that joins sees all open jobs at once, on the loop that answers requests."""
+    looks = 0
+
+    def counted(*args):
+        nonlocal looks
+        looks += 1
+        return due_work(*args)
+
+    monkeypatch.setattr(module, "due_work", counted)
+    monkeypatch.setattr(module, "time", FakeClock())
+    demand = ModelDemand()
+    for number in range(10_000):
+        demand.opened(f"j{number}", OpenJob("m", 1, item_s=1.0, work_s=1.0, due_s=8.0))
+    assert demand.peak_open_items("m") == 10_000
+    assert demand.due_work("m").needed_slots == pytest.approx(1250.0)
+    for number in range(10_000):
+        demand.ended(f"j{number}")
+    assert looks <= 4 * 10_000
--- a/tests/jobs/test_due_work.py
+++ b/tests/jobs/test_due_work.py
@@ -64,3 +64,7 @@
     needs.update([DueWork(0, 20.0, 2.0)], 0.0)
     lower = DueWork(0, 10.0, 2.0)
     assert needs.update([lower], NEED_RETENTION_S + 0.1) == (lower,)
+
+
+def test_jobs_that_need_no_slots_are_combined():
+    assert combine([DueWork(0, 0.0, 2.0), DueWork(0, 1e-320, 1e9)]).needed_slots == 0.0
--- a/tests/orders/test_assigner.py
+++ b/tests/orders/test_assigner.py
@@ -179,3 +179,15 @@
     works = dict.fromkeys("ab") | {model: model_work(90.0) for model in known}
     assigner, _, _ = make_contended(20, FixedDueDemand(works))
     assert [len(chosen) for chosen in assigner.assign_all(ANNOUNCED).values()] == [10, 10]
+
+
+@pytest.mark.parametrize("pace_s", [0.0, -0.1, float("nan"), float("inf"), 5e-324])
+def test_a_pace_that_no_sampler_can_have_counts_as_unknown(pace_s):
+    """Fault: one bad stored table ended each pass of the coordinator; nothing was loaded."""
+    demand = FixedDueDemand({"a": model_work(40.0), "b": model_work(40.0)})
+    assigner, _, paces = make_contended(12, demand)
+    expected = ids(assigner.assign_all(ANNOUNCED))
+    paces.update_from_process("p", {f"svc-{number:02d}": pace_s for number in range(7)})
+    assert ids(assigner.assign_all(ANNOUNCED)) == expected
+    paces.update_from_process("p", {"svc-00": pace_s, "svc-01": 0.1})
+    assert ids(assigner.assign_all(ANNOUNCED)) == expected
--- a/tests/orders/test_capacity.py
+++ b/tests/orders/test_capacity.py
@@ -4,7 +4,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from crankseam.orders.capacity import PACE_TOLERANCE, capacities_of, relative_paces
+from crankseam.orders.assignment import DEFAULT_SLOTS
+from crankseam.orders.capacity import PACE_TOLERANCE, capacities_of, relative_paces, total_slots
 from tests.orders.factories import make_samplers
 
 paces = st.dictionaries(st.sampled_from("abcdefgh"), st.floats(0.01, 1.0), min_size=1)
@@ -44,3 +45,9 @@
     known = relative_paces({"a": 0.1, "b": 0.1, "c": 0.3}, {})
     assert relative_paces({"a": 0.1, "b": 0.1}, known) == known
     assert relative_paces({}, known) == known
+
+
+def test_a_sampler_that_states_no_possible_number_of_slots_has_the_default():
+    samplers = make_samplers(1, slots=-3) + make_samplers(1, slots=0)
+    assert total_slots(samplers) == 2 * DEFAULT_SLOTS
+    assert capacities_of(samplers, {}) == {"s00": float(DEFAULT_SLOTS)}
