Absurd stored values count as unknown; open keys are looked at once a burst

Change: numbers of a stored open job, paces and slots that can't be are taken as unknown where they are read; works that need no slots are combined without a division; a job that is far too late counts no more even if its work is unknown. The items of open jobs are counted as keys come and go, and the work that is due is looked at at most once in 0.1 s as keys end, not as they open, since it only grows until one ends. Works are grouped by priority in one pass.

--- a/src/crankseam/jobs/demand.py
+++ b/src/crankseam/jobs/demand.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections import Counter
 
@@ -18,6 +19,12 @@
 PEAK_RETENTION_S = 30.0
 """Seconds for which a peak counts. A training step comes every few seconds, and no item is open
 between two steps, so the current number alone would drop to zero."""
+MAX_STATED_S = 1e9
+"""Largest number of seconds that a stored value can state; a larger one counts as unknown, since a
+sum of such values may be infinite."""
+NEED_INTERVAL_S = 0.1
+"""Shortest time, in seconds, between two looks at all open jobs of a model as keys end. Many keys
+end together, and the first look has already found their peak."""
 UNKNOWN_PRIORITY = 5
 """Priority of a job whose priority no process has stated: that of a route without one."""
 
@@ -60,11 +67,27 @@
 
 
 def decode_open_job(value: bytes) -> OpenJob:
-    """Decode the value of an open job's key; an unreadable value yields the defaults."""
+    """Decode the value of an open job's key; an unreadable value yields the defaults.
+
+    Numbers that no job can have count as unknown.
+    """
     try:
-        return msgspec.msgpack.decode(value, type=OpenJob)
+        job = msgspec.msgpack.decode(value, type=OpenJob)
     except msgspec.DecodeError:
         return OpenJob()
+    return msgspec.structs.replace(
+        job,
+        items=max(0, job.items),
+        item_s=_stated_s(job.item_s),
+        work_s=_stated_s(job.work_s),
+        longest_item_s=_stated_s(job.longest_item_s),
+        due_s=_stated_s(job.due_s),
+    )
+
+
+def _stated_s(seconds: float) -> float:
+    """Return stated seconds, or 0 if no job can have them; not a number is one of these."""
+    return seconds if 0.0 <= seconds <= MAX_STATED_S else 0.0
 
 
 class ModelDemand:
@@ -84,10 +107,21 @@
         self._tightness: dict[str, float] = {}
         """Tightness of the newest job that states it, by model."""
         self._recent_needs: dict[str, RecentNeeds] = {}
+        self._open_items: Counter[str] = Counter()
+        """Number of items of open jobs, by model."""
+        self._looked_at: dict[str, float] = {}
+        """Monotonic time, in seconds, of the last look at all open jobs of a model."""
 
     def opened(self, job_id: str, job: OpenJob) -> None:
-        """Add an open job."""
+        """Add an open job.
+
+        The work that is due is not looked at here: it only grows until a job ends.
+        """
+        previous = self._open_jobs.get(job_id)
+        if previous is not None:
+            self._open_items[previous.model] -= previous.items
         self._open_jobs[job_id] = job
+        self._open_items[job.model] += job.items
         self._seen_at.setdefault(job_id, time.monotonic())
         self._min_usable_versions[job.model] = max(
             self._min_usable_versions.get(job.model, 0), job.min_version
@@ -99,30 +133,25 @@
         if job.tightness() > 0.0:
             self._tightness[job.model] = job.tightness()
         self._update_peak(job.model)
-        self.due_work(job.model)
 
     def ended(self, job_id: str) -> None:
         """Remove a job that is no longer open; an unknown job is ignored."""
         job = self._open_jobs.get(job_id)
         if job is not None:
             self._update_peak(job.model)
-            self.due_work(job.model)
+            if time.monotonic() - self._looked_at.get(job.model, -math.inf) > NEED_INTERVAL_S:
+                self.due_work(job.model)
+            self._open_items[job.model] -= job.items
             del self._open_jobs[job_id]
             del self._seen_at[job_id]
 
     def _update_peak(self, model: str) -> None:
-        items = self._open_items()[model]
+        items = self._open_items[model]
         peak, at = self._peaks.get(model, (0, float("-inf")))
         now = time.monotonic()
         if items >= peak or now - at > PEAK_RETENTION_S:
             self._peaks[model] = (items, now)
 
-    def _open_items(self) -> Counter[str]:
-        items: Counter[str] = Counter()
-        for job in self._open_jobs.values():
-            items[job.model] += job.items
-        return items
-
     def peak_open_items(self, model: str) -> int | None:
         """Recent peak of concurrently open items; None if the model had no open item."""
         peak, _ = self._peaks.get(model, (0, 0.0))
@@ -136,16 +165,18 @@
     def due_work(self, model: str) -> ModelWork | None:
         """See Demand."""
         now = time.monotonic()
+        self._looked_at[model] = now
         works: list[DueWork] = []
         for job_id, job in self._open_jobs.items():
             if job.model != model or not job.items:
                 continue
             work_s = job.expected_work_s() or job.items * self._item_s.get(model, 0.0)
+            work = self._due_work_of(job, work_s, now - self._seen_at[job_id])
+            if work is None:
+                continue
             if work_s <= 0.0:
                 return None
-            work = self._due_work_of(job, work_s, now - self._seen_at[job_id])
-            if work is not None:
-                works.append(work)
+            works.append(work)
         needs = self._recent_needs.setdefault(model, RecentNeeds())
         return ModelWork(needs.update(works, now), self._tightness.get(model, 0.0))
 
--- a/src/crankseam/jobs/due_work.py
+++ b/src/crankseam/jobs/due_work.py
@@ -75,6 +75,8 @@
     """
     work_s = sum(work.work_s for work in works)
     needed_slots = sum(work.needed_slots for work in works)
+    if needed_slots <= 0.0:
+        return DueWork(works[0].priority, 0.0, max(work.left_s for work in works))
     return DueWork(works[0].priority, work_s, work_s / needed_slots)
 
 
@@ -105,8 +107,11 @@
             for priority, peak in self._peaks.items()
             if now - peak.at <= NEED_RETENTION_S
         }
-        for priority in {work.priority for work in works}:
-            current = combine([work for work in works if work.priority == priority])
+        by_priority: dict[int, list[DueWork]] = {}
+        for work in works:
+            by_priority.setdefault(work.priority, []).append(work)
+        for priority, of_priority in by_priority.items():
+            current = combine(of_priority)
             peak = self._peaks.get(priority)
             if peak is None or current.needed_slots >= peak.work.needed_slots:
                 self._peaks[priority] = _Peak(current, now)
--- a/src/crankseam/orders/capacity.py
+++ b/src/crankseam/orders/capacity.py
@@ -24,13 +24,16 @@
 PACE_TOLERANCE = 0.15
 """Relative change of a relative pace up to which the previous value is kept: the width of a pace
 class, within which samplers count as equally fast elsewhere too."""
+POSSIBLE_PACES_S = (1e-6, 3600.0)
+"""Shortest and longest pace, in seconds, that a sampler can have. Others count as unknown: they are
+read from stored tables, and a pace of 0 would be an infinite capacity."""
 MEDIAN_PACE = 1.0
 """Relative pace of a sampler whose pace is unknown."""
 
 
 def slots_of(sampler: BackEnd) -> int:
     """Return the number of slots of a sampler, or a default if it reports none."""
-    return sampler.record.slots or DEFAULT_SLOTS
+    return sampler.record.slots if sampler.record.slots > 0 else DEFAULT_SLOTS
 
 
 def total_slots(samplers: Iterable[BackEnd]) -> int:
@@ -55,6 +58,8 @@
     >>> relative_paces({"a": 0.1, "b": 0.1, "c": 0.22}, {"c": 2.0, "d": 1.5})
     {'c': 2.0, 'd': 1.5, 'a': 1.0, 'b': 1.0}
     """
+    shortest_s, longest_s = POSSIBLE_PACES_S
+    paces_s = {key: pace_s for key, pace_s in paces_s.items() if shortest_s <= pace_s <= longest_s}
     if not paces_s:
         return previous
     median_s = statistics.median(paces_s.values())
@@ -75,7 +80,6 @@
     relative : relative pace by sampler id, where known.
     """
     return {
-        sampler.record.id: (sampler.record.slots or DEFAULT_SLOTS)
-        / relative.get(sampler.record.id, MEDIAN_PACE)
+        sampler.record.id: slots_of(sampler) / relative.get(sampler.record.id, MEDIAN_PACE)
         for sampler in samplers
     }
