--- a/src/crankseam/jobs/due_work.py
+++ b/src/crankseam/jobs/due_work.py
@@ -34,7 +34,7 @@
 NEED_RETENTION_S = 8.0
 """Seconds for which a peak of the need counts: longer than the pause between two steps of a trainer
 that keeps up, so that shares do not swing with each step, and not much longer, so that an idle
-model lends its samplers."""
+model soon gives up samplers that another model lacks."""
 
 
 def due_work(priority: int, work_s: float, due_s: float, elapsed_s: float) -> DueWork | None:
--- a/src/crankseam/orders/capacity.py
+++ b/src/crankseam/orders/capacity.py
@@ -23,7 +23,7 @@
 
 PACE_TOLERANCE = 0.15
 """Relative change of a relative pace up to which the previous value is kept: the width of a pace
-class, within which samplers count as equally fast elsewhere too."""
+class (`crankseam.serving.paces`), within which samplers count as equally fast."""
 POSSIBLE_PACES_S = (1e-6, 3600.0)
 """Shortest and longest pace, in seconds, that a sampler can have. Others count as unknown: they are
 read from stored tables, and a pace of 0 would be an infinite capacity."""
--- a/src/crankseam/orders/urgent_shares.py
+++ b/src/crankseam/orders/urgent_shares.py
@@ -26,9 +26,11 @@
 
 QUOTA_FRACTION = 0.75
 """Fraction of its share without priorities that each model keeps, however urgent the others are. A
-less urgent job then takes at most a third longer than among equals. Needs are estimates that follow
-a change of the samplers' speed by several steps; a smaller quota would let needs that are estimated
-too high take what the urgent models can't use."""
+less urgent job then takes at most a third longer than without priorities, apart from the rounding
+to whole samplers. The value is not derived from the due times that callers state; note 15b tells
+what was weighed.
+Needs are estimates that follow a change of the samplers' speed by several steps; a smaller quota
+would let needs that are estimated too high take what the urgent models can't use."""
 
 
 class ShareReason(enum.Enum):
@@ -176,7 +178,7 @@
     def _must_change(
         self, new_shares: dict[str, float], works: dict[str, ModelWork], capacity: float
     ) -> bool:
-        """Whether the shares shift by enough; an idle model lends only if another lacks slots."""
+        """Whether the shares shift by enough; those of idle models only if a model lacks slots."""
         shares = self.current.shares
         needs = _needs(works)
         is_covered = all(needs[model] <= shares[model] * capacity for model in needs)
--- a/tests/orders/test_assigner.py
+++ b/tests/orders/test_assigner.py
@@ -191,3 +191,20 @@
     assert ids(assigner.assign_all(ANNOUNCED)) == expected
     paces.update_from_process("p", {"svc-00": pace_s, "svc-01": 0.1})
     assert ids(assigner.assign_all(ANNOUNCED)) == expected
+
+
+def test_a_configuration_that_changes_in_the_middle_changes_only_the_rule(monkeypatch):
+    """The service is contended, then not, then again, with a model more."""
+    demand = FixedDueDemand({"a": model_work(120.0, 0), "b": model_work(120.0, 1)})
+    assigner, registry, _ = make_contended(16, demand)
+    contended = ids(assigner.assign_all(ANNOUNCED))
+    monkeypatch.setattr(Contended, "is_contended", lambda self, service: False)
+    plain, _ = make_assigner(16, "ab", demand)
+    assert ids(assigner.assign_all(ANNOUNCED)) == ids(plain.assign_all(ANNOUNCED))
+    monkeypatch.undo()
+    assert ids(assigner.assign_all(ANNOUNCED)) == contended
+    for number in range(16):
+        add_sampler(registry, number, "abc")
+    more = assigner.assign_all({**ANNOUNCED, "c": 2})
+    counts = [len(more[model]) for model in "abc"]
+    assert sum(counts) >= 16 and max(counts) - min(counts) <= 1, "equal until its work is known"
--- a/tests/orders/test_capacity_assignment.py
+++ b/tests/orders/test_capacity_assignment.py
@@ -193,3 +193,9 @@
     assert ids(assign_capacity(samplers, parts, even(samplers))) == {
         model: {"s00", "s01", "s02"} for model in parts
     }
+
+
+def test_one_sampler_carries_all_models():
+    samplers = make_samplers(1, SLOTS)
+    parts = {"a": ModelPart(0.0, 0), "b": ModelPart(1.0, 10_000, 2.0)}
+    assert ids(assign_capacity(samplers, parts, even(samplers))) == {"a": {"s00"}, "b": {"s00"}}
