--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -144,6 +144,16 @@
         "The process answered a request itself with an error.",
         ("request", "status", "problem", "detail"),
     ),
+    "memory_short": LogEvent(
+        "The memory budget is short, at most one line a second: bytes used and allowed, bodies and"
+        " answers that wait, the largest of them, refusals since the previous line.",
+        ("used_bytes", "limit_bytes", "waiting", "largest_bytes", "refused"),
+    ),
+    "reader_cut_off": LogEvent(
+        "Memory is short, and this caller neither read its answer nor sent its body (`kind`) for"
+        " `stalled_s` seconds; its connection was aborted. `unsent_bytes`: what was still to come.",
+        ("request", "kind", "unsent_bytes", "stalled_s"),
+    ),
     "request_held": LogEvent(
         "Back ends ended during earlier attempts of this request; it is held back for `seconds`.",
         ("request", "fingerprint", "ended", "probes", "seconds"),
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -21,6 +21,7 @@
     ROOT / "src/crankseam/usage",
     ROOT / "src/crankseam/scaling",
     ROOT / "src/crankseam/quarantine",
+    ROOT / "src/crankseam/memory",
     ROOT / "platform/crankseam_platform",
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
