--- a/src/crankseam/serving/settings.py
+++ b/src/crankseam/serving/settings.py
@@ -86,6 +86,9 @@
     bounds: Bounds = Bounds()
     duties: DutyCalls = DutyCalls()
     log_level: Literal["debug", "info", "warning", "error"] = "info"
+    memory_megabytes: float | None = None
+    """Memory of this machine, in units of 2**20 bytes. None if it is not known: bodies and answers
+    are then not limited by a budget."""
 
 
 ADDRESS = re.compile(r"[0-9.]+:[0-9]{1,5}")
--- a/tests/serving/test_settings.py
+++ b/tests/serving/test_settings.py
@@ -51,3 +51,11 @@
 def test_a_missing_file_is_a_typed_error(tmp_path):
     with pytest.raises(InvalidConfiguration):
         load_settings(tmp_path / "none.toml")
+
+
+def test_the_memory_of_the_machine_is_optional_and_may_be_whole_or_broken():
+    assert parse_settings(GOOD, "settings.toml").memory_megabytes is None
+    for written in ("200", "160.5"):
+        settings = parse_settings(f"memory_megabytes = {written}\n{GOOD}", "settings.toml")
+        assert settings.memory_megabytes == float(written)
+    assert refusal(f'memory_megabytes = "much"\n{GOOD}').field == "memory_megabytes"
