Ingress: bodies and answers within the memory budget of the process

Symptom: bodies are read whole and unsent answers kept without a sum, on machines of 160 to 552 MB. Cause: request.read() buffers up to the body limit of each request at once; an answer is handed to the connection whole, and its copy stays there until the caller reads. Change: with the setting memory_megabytes, bodies are reserved before they are read and refused with 503 (not run) without room; answers of back ends are reserved before they are read and held until the caller's kernel has them; large ones are sent in pieces; stalled callers are cut off while memory is short. Job submissions and results count too. Without the setting: as before. Not measured.

--- a/src/crankseam/serving/messages.py
+++ b/src/crankseam/serving/messages.py
@@ -11,10 +11,11 @@
 from __future__ import annotations
 
 from collections.abc import AsyncGenerator
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Protocol
 
 from crankseam.errors import CrankseamError
+from crankseam.memory.guard import RequestMemory
 from crankseam.serving.back_ends import BackEnd
 
 Headers = tuple[tuple[str, str], ...]
@@ -33,6 +34,8 @@
     received_at : time at which the request arrived.
     deadline : time until which the caller waits for the answer.
     tenant : name of the tenant that the request belongs to; empty if there is none.
+    memory : holds the bytes of the body and of the answer; None if the process has no memory
+        budget.
     """
 
     id: str
@@ -45,6 +48,7 @@
     received_at: float
     deadline: float
     tenant: str = ""
+    memory: RequestMemory | None = field(default=None, compare=False, repr=False)
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -95,7 +95,7 @@
     async def configure(self, version=1, routes=ROUTES):
         await self.put("op/config", msgspec.json.encode(configuration(version, routes)))
 
-    async def start_front(self, name="front-1", wait_ready=True):
+    async def start_front(self, name="front-1", wait_ready=True, **more):
         callers, readiness = free_port(), free_port()
         settings = ProcessSettings(
             name=name,
@@ -111,6 +111,7 @@
                 order_lease_milliseconds=200.0, usage_window_seconds=0.5, usage_late_seconds=20.0
             ),
             duties=DutyCalls(address=self.duty_address, usage=bool(self.duty_address)),
+            **more,
         )
         front = Front(settings)
         self.fronts.append(front)
--- /dev/null
+++ b/tests/platform/test_memory.py
@@ -0,0 +1,52 @@
+"""A front on a small machine under a flood of large bodies: bounded use, correct refusals."""
+
+import asyncio
+
+import msgspec
+
+from tests.platform.deployment import ROUTES, Deployment, configuration
+
+BODY_BYTES = 900_000
+REQUESTS = 60
+
+
+async def test_a_flood_of_large_bodies_is_bounded_and_what_is_refused_did_not_run():
+    async with Deployment() as deployment:
+        limits = {"limits": {"max_body_bytes": 2**20}}
+        raw = msgspec.json.encode(configuration(1, ROUTES) | limits)
+        await deployment.put("op/config", raw)
+        front = await deployment.start_front(memory_megabytes=1)
+        budget, most = front.memory.room.budget, 0
+        take = budget.take
+
+        def observed_take(size, kind):
+            nonlocal most
+            take(size, kind)
+            most = max(most, budget.used_bytes)
+
+        budget.take = observed_take
+        for sampler in deployment.samplers:
+            sampler.faults.delay = 0.3
+
+        async def ask(number):
+            body = bytes([number]) * BODY_BYTES
+            return await deployment.ask(front, "/once/x", body, request_id=f"q{number}")
+
+        answers = await asyncio.gather(*map(ask, range(REQUESTS)))
+        ran = {seen.id: seen.body for sampler in deployment.samplers for seen in sampler.ran}
+        for number, (status, headers, body) in enumerate(answers):
+            if status == 200:
+                assert body == b"echo:" + ran[f"q{number}"]
+            else:
+                assert status == 503 and float(headers["Retry-After"]) > 0
+                assert msgspec.json.decode(body)["outcome"] == "not_run"
+                assert f"q{number}" not in ran
+        statuses = [status for status, _, _ in answers]
+        assert {200, 503} == set(statuses), "some were served, and some refused"
+        assert BODY_BYTES < most <= budget.limits.total_bytes
+        assert budget.used_bytes == 0
+        page = front.metrics.render().decode()
+        assert "crankseam_memory_used_bytes 0.0" in page
+        assert "crankseam_memory_waiting 0.0" in page
+        assert (await deployment.submit(front))[0] == 202
+        assert len(await deployment.all_results(front)) == 3
