--- a/src/crankseam/memory/budget.py
+++ b/src/crankseam/memory/budget.py
@@ -82,6 +82,7 @@
     Attributes
     ==========
 
+    used_bytes : number of bytes reserved.
     on_released : invoked after bytes were returned.
 
     Examples
@@ -99,12 +100,8 @@
     def __init__(self, limits: MemoryLimits) -> None:
         self.limits = limits
         self.on_released: Callable[[], None] = lambda: None
-        self._used = dict.fromkeys(MemoryKind, 0)
-
-    @property
-    def used_bytes(self) -> int:
-        """Number of bytes reserved."""
-        return sum(self._used.values())
+        self.used_bytes = 0
+        self._body_bytes = 0
 
     def limit_bytes(self, kind: MemoryKind) -> int:
         """Number of bytes that reservations of a kind may have in an empty budget."""
@@ -114,7 +111,7 @@
         """Number of bytes that one more reservation of a kind may have now."""
         free = self.limits.total_bytes - self.used_bytes
         if kind is MemoryKind.BODY:
-            return min(free, self.limits.body_bytes - self._used[kind])
+            return min(free, self.limits.body_bytes - self._body_bytes)
         return free
 
     def is_short(self) -> bool:
@@ -135,9 +132,14 @@
             raise ValueError("a size is never negative")
         if size_bytes > self.free_bytes(kind):
             raise BudgetFull
-        self._used[kind] += size_bytes
+        self._count(size_bytes, kind)
 
     def give_back(self, size_bytes: int, kind: MemoryKind) -> None:
         """Count bytes as free again, on behalf of a reservation."""
-        self._used[kind] -= size_bytes
+        self._count(-size_bytes, kind)
         self.on_released()
+
+    def _count(self, by_bytes: int, kind: MemoryKind) -> None:
+        self.used_bytes += by_bytes
+        if kind is MemoryKind.BODY:
+            self._body_bytes += by_bytes
--- a/src/crankseam/memory/guard.py
+++ b/src/crankseam/memory/guard.py
@@ -47,7 +47,8 @@
         self, size_bytes: int, kind: MemoryKind, wait_s: float | None = None
     ) -> Reservation:
         """Reserve bytes for this request; see `MemoryRoom.reserve`."""
-        reservation = await self._room.reserve(size_bytes, kind, self.held_bytes(), wait_s)
+        own_bytes = self.held_bytes() if self._held else 0
+        reservation = await self._room.reserve(size_bytes, kind, own_bytes, wait_s)
         self._held.append(reservation)
         return reservation
 
--- a/src/crankseam/memory/room.py
+++ b/src/crankseam/memory/room.py
@@ -72,6 +72,8 @@
 
         NoRoom
         """
+        if not self._pending and size_bytes <= self.budget.free_bytes(kind):
+            return self.budget.reserve(size_bytes, kind)
         reservation = self.budget.reserve(0, kind)
         await self._add(reservation, size_bytes, own_bytes, False, wait_s)
         return reservation
--- a/src/crankseam/memory/waiting.py
+++ b/src/crankseam/memory/waiting.py
@@ -77,9 +77,10 @@
 
     waiters : in order of arrival.
     """
+    free_bytes = {kind: budget.free_bytes(kind) for kind in MemoryKind}
     held_up: list[Waiter] = []
     for waiter in in_order(waiters):
-        if waiter.size_bytes <= budget.free_bytes(waiter.kind) and _may_pass(waiter, held_up):
+        if waiter.size_bytes <= free_bytes[waiter.kind] and _may_pass(waiter, held_up):
             return Admission(waiter, held_up)
         held_up.append(waiter)
     return None
