--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from crankseam.memory.limits import MemoryLimits
 from tests.platform.deployment import ROUTES, Deployment, configuration
 
 BODY_BYTES = 900_000
@@ -50,3 +51,21 @@
         assert "crankseam_memory_waiting 0.0" in page
         assert (await deployment.submit(front))[0] == 202
         assert len(await deployment.all_results(front)) == 3
+
+
+async def test_an_answer_without_room_is_no_promise_that_the_request_did_not_run():
+    """Guards against a 503 for a request that ran, whose answer found no room."""
+    async with Deployment() as deployment:
+        limits = {"limits": {"max_body_bytes": 2**20}}
+        raw = msgspec.json.encode(configuration(1, ROUTES) | limits)
+        await deployment.put("op/config", raw)
+        front = await deployment.start_front(memory_megabytes=1)
+        front.memory.room.budget.limits = MemoryLimits(2_000_000, 1_500_000)
+        for path in ("/once/x", "/safe/x"):
+            status, headers, _ = await deployment.ask(front, path, bytes(BODY_BYTES))
+            assert status == 504 and "Retry-After" not in headers
+        assert any(
+            seen.path == "/once/x" for sampler in deployment.samplers for seen in sampler.ran
+        )
+        assert front.memory.room.budget.used_bytes == 0
+        assert (await deployment.ask(front, "/once/x", bytes(500_000)))[0] == 200
