--- a/tests/platform/test_memory.py
+++ b/tests/platform/test_memory.py
@@ -4,6 +4,7 @@
 
 import msgspec
 
+from crankseam.memory.budget import MemoryKind
 from crankseam.memory.limits import MemoryLimits
 from tests.platform.deployment import ROUTES, Deployment, configuration
 
@@ -69,3 +70,22 @@
         )
         assert front.memory.room.budget.used_bytes == 0
         assert (await deployment.ask(front, "/once/x", bytes(500_000)))[0] == 200
+
+
+async def test_submissions_and_results_of_jobs_count_and_are_refused_without_room():
+    """Guards against trainers whose jobs and results are held beside the budget."""
+    async with Deployment() as deployment:
+        await deployment.configure()
+        front = await deployment.start_front(memory_megabytes=1)
+        assert (await deployment.submit(front, items=20))[0] == 202
+        assert len(await deployment.all_results(front, count=20)) == 20
+        budget = front.memory.room.budget
+        with budget.reserve(budget.free_bytes(MemoryKind.ANSWER) - 3000, MemoryKind.ANSWER):
+            status, headers, body = await deployment.submit(front, "job2", items=20)
+            assert status == 503 and "Retry-After" in headers
+            assert msgspec.json.decode(body)["outcome"] == "not_run"
+            status, answer = await deployment.results(front)
+            assert (status, answer["outcome"]) == (503, "not_run")
+        assert (await deployment.results(front, "job2"))[0] == 404, "it was not accepted"
+        assert len((await deployment.results(front))[1]["results"]) == 20
+        assert budget.used_bytes == 0
