Memory budget: no sorting of waiters while none of them fits

Symptom: with 1,000 waiting, each release cost 604 to 1,001 us in deciding that nobody fits. Cause: the waiters were sorted before their sizes were compared. Change: sizes first.

--- a/src/crankseam/memory/room.py
+++ b/src/crankseam/memory/room.py
@@ -141,7 +141,7 @@
     def _admit_waiting(self) -> None:
         while self._pending:
             admission = waiting.next_to_admit(
-                (pending.waiter for pending in self._pending), self.budget
+                [pending.waiter for pending in self._pending], self.budget
             )
             if admission is None:
                 return
--- a/src/crankseam/memory/waiting.py
+++ b/src/crankseam/memory/waiting.py
@@ -15,7 +15,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -69,7 +69,7 @@
     passed: list[Waiter]
 
 
-def next_to_admit(waiters: Iterable[Waiter], budget: MemoryBudget) -> Admission | None:
+def next_to_admit(waiters: Sequence[Waiter], budget: MemoryBudget) -> Admission | None:
     """Return who gets room now; None if there is room for none.
 
     Parameters
@@ -78,6 +78,8 @@
     waiters : in order of arrival.
     """
     free_bytes = {kind: budget.free_bytes(kind) for kind in MemoryKind}
+    if not any(waiter.size_bytes <= free_bytes[waiter.kind] for waiter in waiters):
+        return None
     held_up: list[Waiter] = []
     for waiter in in_order(waiters):
         if waiter.size_bytes <= free_bytes[waiter.kind] and _may_pass(waiter, held_up):
