--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -12,13 +12,12 @@
 from yarl import URL
 
 from crankseam.coordination.interface import Put, Transaction
-from crankseam.serving.settings import Bounds, DutyCalls, Listeners, LoadSettings, ProcessSettings
+from crankseam.serving.settings import Bounds, DutyCalls, Listeners, ProcessSettings
 from crankseam_standins.memory_store import MemoryStore
 from crankseam_standins.ports import free_port
 from tests.support.waiting import eventually
 
 HOST = "app.example"
-DEFAULT_LOAD = LoadSettings()
 
 
 def route(name, prefix, kind, service="svc", **more):
@@ -96,7 +95,7 @@
     async def configure(self, version=1, routes=ROUTES):
         await self.put("op/config", msgspec.json.encode(configuration(version, routes)))
 
-    async def start_front(self, name="front-1", wait_ready=True, load=DEFAULT_LOAD):
+    async def start_front(self, name="front-1", wait_ready=True, **more):
         callers, readiness = free_port(), free_port()
         settings = ProcessSettings(
             name=name,
@@ -112,7 +111,7 @@
                 order_lease_milliseconds=200.0, usage_window_seconds=0.5, usage_late_seconds=20.0
             ),
             duties=DutyCalls(address=self.duty_address, usage=bool(self.duty_address)),
-            load=load,
+            **more,
         )
         front = Front(settings)
         self.fronts.append(front)
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -23,6 +23,7 @@
     ROOT / "src/crankseam/quarantine",
     ROOT / "src/crankseam/overload",
     ROOT / "src/crankseam/fairness",
+    ROOT / "src/crankseam/memory",
     ROOT / "platform/crankseam_platform",
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
