--- a/src/crankseam/overload/estimate.py
+++ b/src/crankseam/overload/estimate.py
@@ -100,9 +100,9 @@
         return limit / self._duration_s(assumed_s, now)
 
     def _duration_s(self, assumed_s: float, now: float) -> float:
-        """Return the duration of the running requests, which are at least as old as the silence."""
-        silence_s = now - max(self._busy_since, self._ended_at[-1] if self._ended_at else 0.0)
-        return max(self.typical_s or assumed_s, silence_s, MIN_DURATION_S)
+        """Return the assumed duration; at least the seconds for which no running request ended."""
+        without_end_s = now - max(self._busy_since, self._ended_at[-1] if self._ended_at else 0.0)
+        return max(self.typical_s or assumed_s, without_end_s, MIN_DURATION_S)
 
     def _measured_per_s(self, now: float) -> float | None:
         since = now - DRAIN_WINDOW_S
--- a/src/crankseam/overload/gate.py
+++ b/src/crankseam/overload/gate.py
@@ -77,7 +77,7 @@
         self._numbers = itertools.count()
         registry.on_change.append(self._handle_back_end_change)
 
-    # --- the way of a request
+    # --- entry, waiting and dispatch
 
     async def enter(self, request: GateRequest) -> Permit:
         """Return the place of a request, after waiting for it if necessary.
