Memory: texts of RequestMemory and of MemoryGuard.request

What stopped a reader: which party gets back what at the end of the block, and who releases what reserve_available reserved. Both are stated.

--- a/src/crankseam/memory/guard.py
+++ b/src/crankseam/memory/guard.py
@@ -59,7 +59,10 @@
         await self._room.grow_to(reservation, size_bytes, self.held_bytes(), wait_s)
 
     def reserve_available(self, size_bytes: int, kind: MemoryKind) -> Reservation:
-        """Reserve bytes that are held already: as many of them as there is room for."""
+        """Reserve as many bytes as there is room for, without waiting; the caller releases them.
+
+        For bytes that are in memory already, which a refusal would not free.
+        """
         free_bytes = self._room.budget.free_bytes(kind)
         return self._room.budget.reserve(min(size_bytes, max(0, free_bytes)), kind)
 
@@ -106,7 +109,7 @@
 
     @contextmanager
     def request(self, request: str) -> Iterator[RequestMemory]:
-        """Return the memory of one request, which gets it back at the end of the block."""
+        """Provide the reservations of one request; all are released at the end of the block."""
         memory = RequestMemory(request, self.room, self.transfers)
         try:
             yield memory
