--- a/src/crankseam/fairness/round_order.py
+++ b/src/crankseam/fairness/round_order.py
@@ -49,14 +49,17 @@
 
 
 class _Contender(NamedTuple):
-    """Whose requests share a start and a room: a tenant's, of one kind."""
+    """A tenant and a kind of request.
+
+    Its waiting requests have the same start, and fit the same samplers.
+    """
 
     tenant: str
     kind: ItemKind
 
 
 class _LaneKey(NamedTuple):
-    """Of which requests the starts are compared."""
+    """Rank class and model; only starts of requests that agree in both are comparable."""
 
     rank_class: tuple[float, ...]
     model: str
@@ -123,7 +126,7 @@
         return None
 
     def take(self) -> PlaceRequest:
-        """Remove and return the request that `first` told."""
+        """Remove and return the request that `first` returned."""
         entry = self._heap[0]
         requests = self._requests[entry.contender]
         request = requests.popleft()
