--- a/src/crankseam/overload/line.py
+++ b/src/crankseam/overload/line.py
@@ -33,8 +33,8 @@
 """Bytes of the bodies that wait for one service. Larger lines would endanger the memory of the
 process when several services are overloaded."""
 MAX_PASSED_OVER = 8
-"""Number of times in a row that a less urgent priority lets others go first. It then gets one
-place for every eight that go to more urgent ones."""
+"""Number of times in a row that a less urgent priority lets others go first. Where several were
+passed over that often, they are next one after another."""
 RESERVED_FRACTION = 1.0 / 8.0
 """Fraction of the entries up to which the requests of one priority are not displaced by others."""
 MIN_COMPACTED = 64
--- a/src/crankseam/overload/retry_after.py
+++ b/src/crankseam/overload/retry_after.py
@@ -3,8 +3,8 @@
 Inputs: the seconds in which the waiting line drains, as estimated at the refusal; the seconds until
 the caller's deadline.
 Rule: A random wait between `SPREAD_FRACTION` of the longest one and the longest one, which is
-`LONGEST_DRAIN_FACTOR` times the drain time. The longest wait is at least `MIN_LONGEST_S`, at most
-`MAX_RETRY_AFTER_S`, and at most `USABLE_FRACTION` of the time that the caller has left.
+`LONGEST_DRAIN_FACTOR` times the drain time. The longest wait is at most `MAX_RETRY_AFTER_S` and at
+most `USABLE_FRACTION` of the time that the caller has left, but never less than `MIN_LONGEST_S`.
 Purpose: A caller returns when there is room for it, while it can still be answered, and not at the
 same time as the others.
 Logged as: `retry_after_s` of `request_rejected_early`.
@@ -16,7 +16,7 @@
 import random
 
 USABLE_FRACTION = 1.0 / 3.0
-"""Callers wait for at most this fraction of the time that they have left."""
+"""Callers wait for at most this fraction of the time that they have left, or `MIN_LONGEST_S`."""
 MAX_RETRY_AFTER_S = 5.0
 """Longest wait, in seconds. An estimate further ahead is not reliable."""
 MIN_LONGEST_S = 0.1
@@ -35,7 +35,7 @@
     Parameters
     ==========
 
-    drain_s : seconds in which the line drains; 0 if nothing waits.
+    drain_s : seconds in which the line drains, with the refused request at its end.
     left_s : seconds until the caller's deadline.
     """
     longest_s = min(drain_s * LONGEST_DRAIN_FACTOR, MAX_RETRY_AFTER_S, left_s * USABLE_FRACTION)
