Fairness: private names of round_order, and the reset of departed tenants

What stopped a reader: 'lane' is no term of the field; the classes are model queues now. The rule of departed_tenants left out that a configuration without tenants resets it.

--- a/src/crankseam/fairness/departed_tenants.py
+++ b/src/crankseam/fairness/departed_tenants.py
@@ -3,8 +3,9 @@
 Inputs: each configuration that comes into force, compared with the one before; the open items of a
 tenant that left, from the keys of open jobs.
 Rule: a tenant has left if an earlier configuration had a key of it and the one in force has none.
-It counts as present again as soon as a configuration has one. A tenant that this process has never
-seen has not left: its job may have come from a process that knows a newer configuration.
+It counts as present again as soon as a configuration has one. A configuration without tenants
+(authentication off) resets this: afterwards none counts as having left. A tenant that this process
+has never seen has not left: its job may have come from a process that knows a newer configuration.
 Purpose: the items of a tenant that was removed, or whose keys were revoked, take no slot for which
 another tenant waits.
 Logged as: `tenant_share_freed`.
--- a/src/crankseam/fairness/round_order.py
+++ b/src/crankseam/fairness/round_order.py
@@ -58,7 +58,7 @@
     kind: ItemKind
 
 
-class _LaneKey(NamedTuple):
+class _ModelQueueKey(NamedTuple):
     """Rank class and model; only starts of requests that agree in both are comparable."""
 
     rank_class: tuple[float, ...]
@@ -66,7 +66,7 @@
 
 
 class _Entry(NamedTuple):
-    """A contender's next request; the smallest entry of a lane is tried first.
+    """A contender's next request; the smallest entry of a queue is tried first.
 
     Numbers differ, so the contenders are never compared.
     """
@@ -77,19 +77,21 @@
     contender: _Contender
 
 
-class _LaneEntry(NamedTuple):
-    """The request whose turn it is in a lane; numbers differ, so the keys are never compared."""
+class _QueueEntry(NamedTuple):
+    """The request whose turn it is in a queue; numbers differ, so the keys are never compared."""
 
     rank_class: tuple[float, ...]
     rank: tuple[float, ...]
     number: int
-    lane: _LaneKey
+    queue: _ModelQueueKey
 
 
-class _Lane:
+class _ModelQueue:
     """The waiting requests of one rank class and model, by tenant and kind."""
 
-    def __init__(self, key: _LaneKey, fairness: ItemFairness, full_kinds: set[ItemKind]) -> None:
+    def __init__(
+        self, key: _ModelQueueKey, fairness: ItemFairness, full_kinds: set[ItemKind]
+    ) -> None:
         self._key = key
         self._fairness = fairness
         self._full_kinds = full_kinds
@@ -108,7 +110,7 @@
         ]
         heapq.heapify(self._heap)
 
-    def first(self) -> _LaneEntry | None:
+    def first(self) -> _QueueEntry | None:
         """Return the request whose turn it is; None if there is none left with room.
 
         Starts only grow during a round, so an outdated entry is always too small. It is put back
@@ -121,7 +123,7 @@
                 continue
             start_s = self._start_s(entry.contender)
             if start_s <= entry.start_s:
-                return _LaneEntry(self._key.rank_class, entry.rank, entry.number, self._key)
+                return _QueueEntry(self._key.rank_class, entry.rank, entry.number, self._key)
             heapq.heapreplace(self._heap, self._entry(entry.contender, start_s))
         return None
 
@@ -157,33 +159,33 @@
     def __init__(self, waiting: Iterable[PlaceRequest], fairness: ItemFairness) -> None:
         self._fairness = fairness
         self._full_kinds: set[ItemKind] = set()
-        self._lanes: dict[_LaneKey, _Lane] = {}
+        self._queues: dict[_ModelQueueKey, _ModelQueue] = {}
         for request in waiting:
-            self._lane_of(request).add(request)
-        self._taken_from: _Lane | None = None
-        """Lane of the last request returned, whose next request may depend on its outcome."""
-        self._heap: list[_LaneEntry] = []
-        for lane in self._lanes.values():
-            lane.sort()
-            self._push(lane.first())
+            self._queue_of(request).add(request)
+        self._taken_from: _ModelQueue | None = None
+        """Queue of the last request returned, whose next request may depend on its outcome."""
+        self._heap: list[_QueueEntry] = []
+        for queue in self._queues.values():
+            queue.sort()
+            self._push(queue.first())
 
     def next(self) -> PlaceRequest | None:
         """Return the request to try next; None if there is none left with room.
 
-        The entry of a lane may be outdated, unless the lane has just been pushed.
+        The entry of a queue may be outdated, unless the queue has just been pushed.
         """
         if self._taken_from is not None:
             self._push(self._taken_from.first())
         while self._heap:
             known = heapq.heappop(self._heap)
-            lane = self._lanes[known.lane]
-            if lane is not self._taken_from:
-                current = lane.first()
+            queue = self._queues[known.queue]
+            if queue is not self._taken_from:
+                current = queue.first()
                 if current != known:
                     self._push(current)
                     continue
-            self._taken_from = lane
-            return lane.take()
+            self._taken_from = queue
+            return queue.take()
         return None
 
     def granted(self, request: PlaceRequest) -> None:
@@ -195,13 +197,13 @@
         """Record that no sampler has room for a request that was returned."""
         self._full_kinds.add(request.kind)
 
-    def _lane_of(self, request: PlaceRequest) -> _Lane:
-        key = _LaneKey(request.rank[:RANK_CLASS_FIELDS], request.need.model)
-        lane = self._lanes.get(key)
-        if lane is None:
-            lane = self._lanes[key] = _Lane(key, self._fairness, self._full_kinds)
-        return lane
+    def _queue_of(self, request: PlaceRequest) -> _ModelQueue:
+        key = _ModelQueueKey(request.rank[:RANK_CLASS_FIELDS], request.need.model)
+        queue = self._queues.get(key)
+        if queue is None:
+            queue = self._queues[key] = _ModelQueue(key, self._fairness, self._full_kinds)
+        return queue
 
-    def _push(self, entry: _LaneEntry | None) -> None:
+    def _push(self, entry: _QueueEntry | None) -> None:
         if entry is not None:
             heapq.heappush(self._heap, entry)
