serving: texts of the choice and the service times read without knowledge of the project

What stopped a newcomer: 'rounds' and 'one more for those that happened not to come' (now the formula 1 + load / slots, and why one attempt is added); 'believed' (now counted, used, accepted); 'say usual'; fading_s for a weighted sum (private, now weighted_s); figures of a run in paces.py. retry.py: 'returns before' said not before what.

--- a/src/crankseam/serving/caller_work.py
+++ b/src/crankseam/serving/caller_work.py
@@ -3,11 +3,11 @@
 Inputs: the duration of each attempt of this process at a contended service, exact, at its end.
 Rule: the seconds of the attempts are summed with weights that fade over WINDOW_S, and divided by
 it. An attempt counts with MAX_DURATION_FACTOR typical durations at most, the typical one being the
-median of the last attempts. One more of typical duration is added for those that happened not to
-come.
+median of the last attempts. One more attempt of typical duration is added, since a process with few
+requests may have had fewer than usual in the window by chance.
 Purpose: a process that forwards few requests can tell how many slots callers need;
-`jobs.scoring_reserve` reserves them. It multiplies the figure by the number of processes, so that
-one request that hangs must not count as one at each of them.
+`jobs.scoring_reserve` reserves them. It multiplies the figure by the number of processes. Without
+the limit on durations, one request that hangs would count as one at each process.
 Logged as: nothing; the requests themselves are (`request_answered`).
 Tested by: tests/serving/test_caller_work.py.
 """
@@ -38,12 +38,12 @@
     """Attempts at one service."""
 
     updated_at: float
-    fading_s: float = 0.0
+    weighted_s: float = 0.0
     durations_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_DURATIONS))
 
     def fade(self, now: float) -> None:
         """Reduce the weight of the attempts so far by the time since the last update."""
-        self.fading_s *= math.exp(-max(0.0, now - self.updated_at) / WINDOW_S)
+        self.weighted_s *= math.exp(-max(0.0, now - self.updated_at) / WINDOW_S)
         self.updated_at = now
 
     def add(self, duration_s: float) -> None:
@@ -51,7 +51,7 @@
         self.durations_s.append(duration_s)
         if len(self.durations_s) >= MIN_DURATIONS:
             duration_s = min(duration_s, MAX_DURATION_FACTOR * self.typical_s())
-        self.fading_s += duration_s
+        self.weighted_s += duration_s
 
     def typical_s(self) -> float:
         """Return the typical duration of an attempt."""
@@ -91,4 +91,4 @@
         if work is None:
             return 0.0
         work.fade(self._clock())
-        return (work.fading_s + work.typical_s()) / WINDOW_S
+        return (work.weighted_s + work.typical_s()) / WINDOW_S
--- a/src/crankseam/serving/expected_completion.py
+++ b/src/crankseam/serving/expected_completion.py
@@ -5,11 +5,12 @@
 streams, of other back ends `service_times`), seconds old; the reported slowdown, which changes many
 times a second.
 Rule: the expected completion is the back end's time factor, that is, how long work takes there
-compared with the service's median back end, times one request and the rounds before it (requests
-there by slots). A round counts in part even where a slot is free: the slot may be taken by the time
-the request arrives, the likelier the fewer are free. The time factor is the learnt ratio without
-the slowdown of that time, times the slowdown expected now: the reported figure while it is fresh,
-fading into the back end's own average and, once that is too old, into the median of the service.
+compared with the service's median back end, times 1 + load / slots: one service time for the
+request itself, and one for each full set of slots before it. Load counts even where a slot is free:
+the slot may be taken by the time the request arrives, the likelier the fewer are free. The time
+factor is the learnt ratio, from which the slowdown at the time of its observations is divided out,
+times the slowdown expected now: the reported figure while it is fresh, then more and more the back
+end's own average and, once the report is too old, the median of the service.
 The requests of others fade with the age of the report, and only those of this process remain once
 it is stale.
 Purpose: new work goes where it is done soonest rather than where fewest requests are; a slow back
@@ -32,8 +33,8 @@
 from crankseam.serving.service_times import ServiceTimes, believed_slowdown, bounded_ratio
 
 MAX_REPORTED_ROUNDS = 4.0
-"""Requests of others that are believed, as a multiple of the slots. A back end that reports more
-rejects work, and one that reports wrongly is still tried when the rest are as full."""
+"""Largest number of requests of others that counts, as a multiple of the slots. A back end with
+more rejects work, and one that reports too many is still selected once the others are as full."""
 SLOWDOWN_FRESH_S = 0.2
 """Time constant, in seconds, at which a reported slowdown fades into the average: such a figure
 holds for a fraction of a second."""
@@ -71,9 +72,9 @@
     >>> estimated_load(0, 1_000_000, 0.0, 8)
     32.0
     """
-    believed = min(float(max(0, others)), MAX_REPORTED_ROUNDS * slots)
+    counted = min(float(max(0, others)), MAX_REPORTED_ROUNDS * slots)
     freshness = max(0.0, 1.0 - max(0.0, report_age_s) / LOAD_REPORT_MAX_AGE_S)
-    return own + believed * freshness
+    return own + counted * freshness
 
 
 def expected_completion(load: float, slots: int, time_factor: float) -> float:
@@ -229,5 +230,5 @@
 
 
 def no_estimates() -> CompletionEstimates:
-    """Return estimates that leave each service to its load, as if none were contended."""
+    """Return estimates for parts without a front: no service is contended, load alone decides."""
     return CompletionEstimates(NoContention(), ServiceTimes())
--- a/src/crankseam/serving/load_reports.py
+++ b/src/crankseam/serving/load_reports.py
@@ -46,7 +46,7 @@
 
 
 def bounded_slowdown(reported: float) -> float:
-    """Return a reported slowdown, limited to the range that is believed.
+    """Return a reported slowdown, limited to the accepted range.
 
     Examples
     ========
--- a/src/crankseam/serving/paces.py
+++ b/src/crankseam/serving/paces.py
@@ -19,8 +19,8 @@
 
 STEADY_WINDOW_S = 2.0
 """Smoothing window, in seconds, of a sampler's steady pace, which seldom changes. The window is in
-time rather than in events: with smoothing by events, a burst of prompts at a full sampler made it
-look slow, and 381 of 2,276 runs were moved away."""
+time rather than in events: with smoothing by events, a burst of prompts at a full sampler would
+make it look slow, and its runs would be moved away."""
 RECENT_WINDOW_S = 0.3
 """Smoothing window, in seconds, of a sampler's recent pace. It is short enough that a sampler that
 becomes slow is detected within a few events."""
--- a/src/crankseam/serving/retry.py
+++ b/src/crankseam/serving/retry.py
@@ -5,7 +5,7 @@
 Points in time are in seconds of the suspend-aware clock, `clocks.boottime_s`.
 Rule: A repeatable request may run `max_attempts` times, any other request once. A rejected attempt
 did not run and does not count, but after `MAX_REJECTIONS` rejections the request is given up; at a
-contended service it returns to the waiting line before, up to `MAX_LINE_RETURNS` times. If the
+contended service it first returns to the waiting line, up to `MAX_LINE_RETURNS` times. If the
 first attempt of a repeatable request is slow, a second one is started concurrently at another
 back end, and the first answer is used. A request is given up at the deadline of the caller or the
 timeout of the route, whichever is earlier. "Not run" is reported only if no attempt may have run.
--- a/src/crankseam/serving/service_times.py
+++ b/src/crankseam/serving/service_times.py
@@ -5,13 +5,13 @@
 Rule: a duration is divided by the back end's average slowdown, so that the two do not count twice,
 and, when it is used, by the typical duration of its kind of request (service and route): the median
 of the last few of each back end, so that one that answers most requests does not set it alone. The
-ratio of a back end is the median of its last few observations and of PRIOR_OBSERVATIONS that
-say "usual", divided by the median ratio of the service's observed back ends: if all are equally
+ratio of a back end is the median of its last few observations and of PRIOR_OBSERVATIONS of
+the usual time, divided by the median ratio of the service's observed back ends: if all are equally
 slow, none is slower. An attempt that was cancelled or timed out counts as at least as long as it
 ran, and only if that is longer than usual. Errors and rejections do not count. A back end without
 fresh observations counts as usual and is tried again.
-Purpose: requests go to a slow back end less often for some seconds, in place of each caller finding
-it out alone. A single long request moves no ratio.
+Purpose: after a few slow answers, further requests go to that back end less often for some seconds.
+A single long request moves no ratio.
 Logged as: `back_end_slow`, `back_end_normal`.
 Tested by: tests/serving/test_service_times.py.
 
@@ -40,8 +40,8 @@
 MAX_OBSERVATIONS = 8
 """Number of observations of a back end that are kept: the latest ones."""
 PRIOR_OBSERVATIONS = 2
-"""Number of observations of the usual time that each back end is given. With two, one long request
-changes nothing, two of them half as much as they say, and three count in full."""
+"""Number of observations of the usual time that each back end is given. Of equal long
+requests, one then leaves the median as it is, two move it half-way, and three determine it."""
 MAX_DURATIONS_OF_BACK_END = 4
 """Number of durations of a kind of request that count of one back end: the latest ones."""
 MAX_BACK_ENDS_OF_KIND = 16
@@ -148,7 +148,7 @@
 
 
 def believed_slowdown(slowdown: float | None) -> float:
-    """Return a slowdown, limited to the range that decisions believe; the usual 1 if unknown.
+    """Return a slowdown, limited to the range that decisions use; the usual 1 if unknown.
 
     What is learnt and what is expected now must use the same limits: a wrong report then cancels
     out once times are learnt.
