jobs: texts of aging, plans and item seconds in terms of the field

What stopped a newcomer: aging.py counted places that the code does not count (only those of items with a level); 'priority is not without end' (now starvation); urgency.py said that scoring always leaves half of the slots free, but scoring_reserve gives it more at contended services; 'line' of the private sums (now start_and_event_s); stories and figures of runs in urgency.py and migration.py.

--- a/src/crankseam/jobs/aging.py
+++ b/src/crankseam/jobs/aging.py
@@ -1,12 +1,13 @@
 """Decides when an item that is less urgent goes before a more urgent one.
 
-Inputs: the places that this process granted at a service since the last one that aging granted;
-the level of each waiting item, which is its job's priority, and the order in which they came.
-Rule: of AGED_PLACE_INTERVAL places at a contended service, one goes to the less urgent level whose
-item has waited longest, and there to the item of the first rank. Items that no trainer waits for
-have no level and do not age.
-Purpose: priority is not without end. A job that is less urgent keeps moving while more urgent ones
-keep coming, and they lose at most one place in AGED_PLACE_INTERVAL.
+Inputs: the places that this process granted to items with a level at a service since the last one
+that aging granted; the level of each waiting item, which is its job's priority, and the order of
+arrival.
+Rule: of AGED_PLACE_INTERVAL such places at a contended service, one goes to the less urgent level
+whose item has waited longest, and there to the item of the first rank. Items that no trainer waits
+for have no level and do not age.
+Purpose: no starvation. A job that is less urgent makes progress while more urgent ones keep coming,
+and they lose at most one place in AGED_PLACE_INTERVAL.
 Logged as: `item_sent`.
 Tested by: tests/jobs/test_aging.py.
 """
@@ -18,9 +19,8 @@
 from typing import NamedTuple
 
 AGED_PLACE_INTERVAL = 16
-"""One in this many places is granted by age. The urgent lose less than the spread of an item's
-length; a step of the less urgent kind, of a few dozen items, still ends within the time of a few
-urgent steps instead of never."""
+"""One in this many places is granted by age. Urgent jobs lose at most that share of the places; a
+less urgent step of a few dozen items still ends while urgent steps keep coming."""
 
 
 class WaitingLevel(NamedTuple):
--- a/src/crankseam/jobs/due_work.py
+++ b/src/crankseam/jobs/due_work.py
@@ -26,14 +26,14 @@
 """Shortest time left, in seconds: a load takes about as long, so that a sampler that is assigned to
 a model can't help it sooner."""
 MAX_LATE_S = 10.0
-"""Seconds after it was due at which a job no longer counts: its results have lost their worth, and
+"""Seconds after it was due at which a job no longer counts: its results are of no more use, and
 a job that its caller never ends must not hold capacity."""
 UNKNOWN_DUE_S = 10.0
 """Seconds until due that are assumed for a job that states none. Trainers ask for a step every few
 seconds, and such a job is less urgent than those that state a time."""
 NEED_RETENTION_S = 8.0
 """Seconds for which a peak of the need counts: longer than the pause between two steps of a trainer
-that keeps up, so that shares do not swing with each step, and not much longer, so that an idle
+that keeps up, so that shares stay as they are, and not much longer, so that an idle
 model soon gives up samplers that another model lacks."""
 
 
--- a/src/crankseam/jobs/group_plan.py
+++ b/src/crankseam/jobs/group_plan.py
@@ -25,10 +25,10 @@
 
 LENGTH_ERROR_FRACTION = 0.3
 """An item may need this fraction less or more than its expected seconds, because hints of lengths
-are inaccurate. A group that is taken for late without need is ranked last, and then is late."""
+are inaccurate. A group wrongly classed as late is ranked behind others, which makes it late."""
 BEGUN_WORK_FACTOR = 0.8
 """Fraction of its work for which a group that has begun counts, so that estimates that change a
-little do not reorder the groups, and what was generated is not left behind."""
+little do not reorder the groups, and texts already generated are used."""
 
 
 class GroupClass(enum.IntEnum):
--- a/src/crankseam/jobs/item_seconds.py
+++ b/src/crankseam/jobs/item_seconds.py
@@ -3,9 +3,9 @@
 Owns decaying sums of seconds, hinted tokens and events per model, in this process's memory. The
 estimates are stored with each accepted job, and all processes use them to divide the samplers, or
 at contended services their capacity, among the models. The owner of a job also estimates from them
-how long each of its items still needs: the hint tells the likely number of events, and a line
-through seconds and events of ended items the seconds. Hints alone would not do: short items need
-more seconds per token, as each has a start.
+how long each of its items still needs: the hint gives the likely number of events, and a linear
+regression of seconds on events over ended items gives the seconds. Seconds in proportion to the
+hint would be too few for short items, since each item takes some time before its first event.
 """
 
 from __future__ import annotations
@@ -66,10 +66,10 @@
         self.events_s = self.events_s * kept + events * held_s
         self.items += 1
 
-    def line(self) -> tuple[float, float]:
-        """Seconds of an item's start and of each of its events, by least squares.
+    def start_and_event_s(self) -> tuple[float, float]:
+        """Seconds before an item's first event, and for each event, by least squares.
 
-        Neither is negative. Without a spread of events, items are taken to have no start.
+        Neither is negative. The first is 0 if the items' numbers of events hardly differ.
         """
         mean_events, mean_s = self.events / self.weight, self.held_s / self.weight
         spread = self.events_squared / self.weight - mean_events**2
@@ -157,7 +157,7 @@
             return None
         if not sums.events:
             return WorkRate(sums.held_s / sums.units)
-        start_s, per_event_s = sums.line()
+        start_s, per_event_s = sums.start_and_event_s()
         units_per_event = sums.units / sums.events
         return WorkRate(per_event_s / units_per_event, units_per_event, start_s)
 
--- a/src/crankseam/jobs/migration.py
+++ b/src/crankseam/jobs/migration.py
@@ -25,11 +25,11 @@
 """A long run, which its step waits for, migrates to a sampler that is faster by this factor than
 the steady pace of its own."""
 COOLDOWN_S = 1.0
-"""Minimum time between two migrations of a run. Without it, runs were moved back and forth between
-two samplers: 472 streams were cut in one trial."""
+"""Minimum time between two migrations of a run. Without it, runs would move back and forth between
+two samplers, and each migration cuts a stream."""
 REJECTED_COOLDOWN_S = 0.4
-"""Minimum time until the next migration after a sampler rejected the run. Such a migration brought
-no gain, and the full cooldown kept runs at slow samplers."""
+"""Minimum time until the next migration after a sampler rejected the run. Such a migration brings
+no gain, and the full cooldown would keep the run at a slow sampler."""
 SEARCH_INTERVAL_S = 0.1
 """Minimum time between two searches of a run for a faster sampler: a few events."""
 PACE_ORDER_MAX_AGE_S = 0.2
--- a/src/crankseam/jobs/urgency.py
+++ b/src/crankseam/jobs/urgency.py
@@ -11,7 +11,7 @@
 by `request_priority`. An item counts as long if its hint exceeds LONG_HINT_FACTOR times the median
 hint of its job, or once its run has generated LONG_RUN_EVENTS events. Items that have not started
 and are not long leave a share of each sampler's slots free; scoring requests leave half of them
-free.
+free, or fewer at a contended service (scoring_reserve.py).
 Purpose: keeps training steps short, since a step ends with its longest item, and protects callers
 whose requests use the same back ends as scoring requests. Where callers compete, the groups that a
 step needs become whole one after the other.
@@ -40,11 +40,10 @@
 """Class of all groups of a job without a plan."""
 LONG_HINT_FACTOR = 1.5
 """An item is expected to be long if its hint exceeds this multiple of its job's median hint.
-Together with the placement of long items on the fastest samplers, this raised the number of groups
-that finished in time from 80 to 81 of 81."""
+Such items are served early and placed on the fastest samplers, since their groups end with them."""
 LONG_RUN_EVENTS = 12
-"""A run that has generated this many events is likely to be one that its step waits for. With 24,
-runs were migrated away from slow samplers too late."""
+"""A run that has generated this many events is likely to be one that its step waits for. The larger
+the value, the later such a run is migrated away from a slow sampler."""
 NEW_ITEM_SLOTS_SHARE = 0.84
 """Share of a sampler's slots that items may fill that have not started and are not long. The
 remaining slots are reserved for interrupted runs and long items, which a step waits for and which
@@ -68,7 +67,7 @@
         """Sort key among all waiting items of this process; the smallest is served first."""
 
     def level(self) -> int | None:
-        """Priority between which and others items age; None if the item does not age."""
+        """Priority by which the item ages (aging.py); None if it does not age."""
 
     def is_wanted(self) -> bool:
         """Whether the trainer waits for the item."""
