--- a/src/crankseam/orders/capacity_assignment.py
+++ b/src/crankseam/orders/capacity_assignment.py
@@ -1,15 +1,17 @@
 """Decides which samplers of a contended service host which model, by capacity.
 
 Inputs: the samplers of one service with their loaded versions and failures; their capacities; for
-each model its share of the capacity, the number of recently open items, and how tight its longest
-item is. These values are at most 0.3 s old; the paces behind the capacities up to 15 s.
+each model its share of the capacity, the number of recently open items, and its tightness (see
+`ModelWork`). These values are at most 0.3 s old; the paces behind the capacities up to 15 s.
 Rule: each model is to get its share of the capacity, rounded to whole samplers, but not more than
-its items need with some reserve, and at least enough samplers to use the loads that fit between two
-steps. A model keeps the samplers that host it, those with its newest version first, up to a surplus
-of less than one sampler. Then it fills up with samplers that host the fewest models, first those
-that an even deal gives it: there, the model with the smallest part of its share so far takes the
-fastest sampler that is left, and of equal parts the tightest model. A sampler that is left over
-goes to the model that it hosts, or else to the one with the smallest part of its share.
+its items need (SLOTS_PER_OPEN_ITEM), and at least enough samplers to use the loads that fit between
+two steps. A model keeps the samplers that host it, those with its newest version first, up to a
+surplus of less than one sampler. While it lacks capacity, samplers that host the fewest models are
+added, of these first the ones closest to its newest version, then the ones that `even_deal` gives
+it: there, the model with the smallest part of its share so far takes the fastest sampler that is
+left, and of equal parts the model of the greatest tightness (see `ModelWork`). A sampler
+that is left over goes to the model that it hosts, or else to the one with the smallest part of its
+share.
 Purpose: a share of slow samplers does less work than as many fast ones. A long item only ends in
 time on a fast sampler, and which samplers a model has decides where its items may run. Each sampler
 that changes its model costs a load.
@@ -152,7 +154,7 @@
         total = sum(capacities[key] for key in self._model_counts)
         slots = statistics.median(slots_of(sampler) for sampler in samplers)
         self._assigned = {
-            model: self._nothing_assigned(parts[model], total, slots) for model in self._models
+            model: self._empty_assigned(parts[model], total, slots) for model in self._models
         }
         targets = {model: self._assigned[model].target for model in self._models}
         keys = [sampler.record.id for sampler in self._samplers]
@@ -193,7 +195,7 @@
         """Return the number of samplers that each model gets at least."""
         return min(len(self._samplers), max(1, LOADS_PER_STEP // len(self._models)))
 
-    def _nothing_assigned(self, part: ModelPart, total: float, slots: float) -> _Assigned:
+    def _empty_assigned(self, part: ModelPart, total: float, slots: float) -> _Assigned:
         target = part.share * total
         needed = float("inf")
         if part.open_items is not None:
--- a/src/crankseam/orders/loads.py
+++ b/src/crankseam/orders/loads.py
@@ -32,23 +32,20 @@
 announces a version; the delay lets its burst of items start before samplers load."""
 LATE_STEP_FRACTION = 0.55
 """Fraction of the interval between two announced versions after which most items of a step have
-ended. A load then breaks off few runs, and these find a slot on another sampler at once. Loading at
-this point reduced the first wait of long items from 0.7 to 0.2 s, on three days with 8 samplers."""
+ended. A load then breaks off few runs, and these find a slot on another sampler at once."""
 INTERVAL_EMA_WEIGHT = 0.5
 """Weight of the latest interval between two announced versions in the exponential moving average of
 these intervals."""
 CONCURRENT_LOAD_FRACTION = 0.4
 """Fraction of a service's samplers that can load at the same time before loads slow each other
-down. The operators' data sheets give 2 of 5 and of 6 samplers, 9 of 23 and 10 of 24. With 23
-samplers and three models, this fraction in place of a fixed limit of 2 raised the number of loads
-from 68 to 153, and the served part of the day from 0.75 to 0.88."""
+down. The operators' data sheets give 2 of 5 and of 6 samplers, 9 of 23 and 10 of 24. A fixed
+limit would be too low for large services."""
 MIN_CONCURRENT_LOADS = 2
 """Number of samplers that may load at the same time even in the smallest services, by the same data
 sheets."""
 SAMPLERS_PER_LOAD = 3
-"""A model may have one load in progress for every three of its samplers. Without this limit, one of
-two models on five samplers was unavailable while all of its samplers loaded. The limit reduced the
-loads beyond the free ones (see `free_load_count`) from 14.5 to 4.5 a day."""
+"""A model may have one load in progress for every three of its samplers. Without this limit, a
+model with few samplers would be unavailable while all of them load."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/crankseam/orders/urgent_shares.py
+++ b/src/crankseam/orders/urgent_shares.py
@@ -27,10 +27,10 @@
 QUOTA_FRACTION = 0.75
 """Fraction of its share without priorities that each model keeps, however urgent the others are. A
 less urgent job then takes at most a third longer than without priorities, apart from the rounding
-to whole samplers. The value is not derived from the due times that callers state; note 15b tells
-what was weighed.
-Needs are estimates that follow a change of the samplers' speed by several steps; a smaller quota
-would let needs that are estimated too high take what the urgent models can't use."""
+to whole samplers. The value is not derived from the due times that callers state; see
+docs/design/15b-shares.md.
+Needs are estimates that show a change of the samplers' speed only after several steps; with a
+smaller quota, a model whose need is estimated too high would get slots that it can't use."""
 
 
 class ShareReason(enum.Enum):
