--- a/tests/serving/test_caller_work.py
+++ b/tests/serving/test_caller_work.py
@@ -74,3 +74,12 @@
     ran_s = sum(duration_s for _, duration_s in attempts)
     longest_s = max((duration_s for _, duration_s in attempts), default=0.0)
     assert 0.0 <= work.average() <= (ran_s + longest_s) / WINDOW_S + 1e-9
+
+
+def test_callers_that_are_gone_keep_no_slots():
+    """Guards against slots that stay reserved for callers that left long ago: the typical attempt
+    that is added for those that happen not to come was added for ever, at each process."""
+    work = Work()
+    work.steady(interval_s=1.0, duration_s=2.0)
+    work.clock.now += 3600.0
+    assert work.average() == 0.0
--- a/tests/serving/test_expected_completion.py
+++ b/tests/serving/test_expected_completion.py
@@ -165,3 +165,14 @@
     paces.record_interval(other, 0.04)
     paces.record_interval(shared, 0.08)
     assert estimates_of([usual, other, shared], paces) == {"a": 1.0, "b": 1.0, "c": 2.0}
+
+
+@pytest.mark.parametrize("pace_s", [0.0, -1.0, float("nan"), float("inf")])
+def test_a_pace_of_another_process_that_is_no_positive_number_is_ignored(pace_s):
+    """Guards against a division by a pace of zero, which ended each round of assignments.
+
+    Paces come from other processes, whose tables are decoded as any numbers.
+    """
+    paces = SamplerPaces()
+    paces.update_from_process("other", {"a": pace_s})
+    assert estimates_of([back_end("a")], paces) == {"a": 1.0}
