Callers that are gone keep no slots; absurd paces of other processes are left out

Change: no attempt is added once a service had none for GONE_AFTER_S; SamplerPaces takes positive, finite paces only. Measured: tests/serving and test_scoring_reserve pass.

--- a/src/crankseam/serving/caller_work.py
+++ b/src/crankseam/serving/caller_work.py
@@ -24,6 +24,9 @@
 WINDOW_S = 8.0
 """Time constant, in seconds, at which attempts fade: long enough for a process with a request every
 few seconds, and short enough that the reserve is there soon after callers come."""
+GONE_AFTER_S = 120.0
+"""Seconds without an attempt after which a service counts as having no callers: several times the
+usual pause between two attempts of a process that forwards few."""
 MAX_DURATIONS = 16
 """Number of durations of a service of which the typical one is the median: the latest ones."""
 MIN_DURATIONS = 3
@@ -38,6 +41,7 @@
     """Attempts at one service."""
 
     updated_at: float
+    recorded_at: float = float("-inf")
     weighted_s: float = 0.0
     durations_s: deque[float] = field(default_factory=lambda: deque(maxlen=MAX_DURATIONS))
 
@@ -80,6 +84,7 @@
             work = self._services[service] = _ServiceWork(now)
         work.fade(now)
         work.add(duration_s)
+        work.recorded_at = now
 
     def is_known(self) -> bool:
         """Whether this process has run long enough for its averages to mean something."""
@@ -88,7 +93,8 @@
     def average_running(self, service: str) -> float:
         """Return how many attempts run at a service on average; see the module's rule."""
         work = self._services.get(service)
-        if work is None:
+        now = self._clock()
+        if work is None or now - work.recorded_at > GONE_AFTER_S:
             return 0.0
-        work.fade(self._clock())
+        work.fade(now)
         return (work.weighted_s + work.typical_s()) / WINDOW_S
--- a/src/crankseam/serving/paces.py
+++ b/src/crankseam/serving/paces.py
@@ -87,9 +87,13 @@
             observation.add_interval(interval_s, now)
 
     def update_from_process(self, process: str, table: dict[str, float]) -> None:
-        """Store the table of another process; an empty table deletes the previous one."""
-        self._peer_tables[process] = table
-        if not table:
+        """Store the table of another process; an empty table deletes the previous one.
+
+        Paces that are not positive numbers are left out.
+        """
+        usable = {key: pace for key, pace in table.items() if 0.0 < pace < math.inf}
+        self._peer_tables[process] = usable
+        if not usable:
             del self._peer_tables[process]
 
     def own_table(self) -> dict[str, float]:
