--- a/src/crankseam/jobs/scoring_reserve.py
+++ b/src/crankseam/jobs/scoring_reserve.py
@@ -5,9 +5,9 @@
 slots of the service's back ends by discovery.
 Rule: the load balancer spreads callers evenly, so all processes together run as many times more
 requests as there are processes. Reserved are that many slots and BURST_DEVIATIONS times the square
-root of it, spread evenly over the back ends: at least MIN_RESERVED_SLOTS of each, and at most as much as at a
-service that is not contended (SCORING_SLOTS_SHARE of jobs/urgency.py). That is also reserved while
-this process has not run long enough to tell.
+root of it, spread evenly over the back ends: at least MIN_RESERVED_SLOTS of each, and at most as
+much as at a service that is not contended (SCORING_SLOTS_SHARE of jobs/urgency.py). That is also
+reserved while this process has not run long enough to tell.
 Purpose: texts that are whole do not wait for their score while slots idle that no caller needs.
 Logged as: `scoring_sent`, whose `seconds` include the wait for a place.
 Tested by: tests/jobs/test_scoring_reserve.py.
@@ -65,7 +65,7 @@
     Examples
     ========
 
-    >>> [scoring_share(running, [8] * 9) for running in (0.0, 8.0, 300.0)]
+    >>> [scoring_share(running, [8] * 9) for running in (0.0, 12.0, 300.0)]
     [0.6875, 0.5625, 0.5]
     """
     if not slots:
