Review: scripts in the project's form, ended in order by SIGTERM

Docstrings and line lengths; a case that is ended early ends its fronts. Checks, bounds and orders of events are unchanged.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -45,10 +45,13 @@
 
 
 def foreign_entry(service: str) -> dict[str, Any]:
+    """Return the entry of another writer that names a service."""
     return {"service": service, **FOREIGN}
 
 
 def configuration() -> dict[str, Any]:
+    """Return the operator's configuration."""
+
     def route(name: str, prefix: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
         return {
             "name": name,
@@ -76,6 +79,7 @@
 
 
 def job_body() -> bytes:
+    """Return the submission of the job."""
     items = [
         {
             "id": f"item-{group}-{number}",
@@ -108,6 +112,7 @@
         self._seen = 0
 
     async def run(self) -> None:
+        """Look until cancelled."""
         last = self._record.now()
         while True:
             await asyncio.sleep(LOOK_S)
@@ -137,6 +142,7 @@
 
 
 def note(record: Record, what: str, answer: Answer) -> None:
+    """Tell an answer in the record."""
     record.add(f"answered: {what}: {answer.status or 'connection ended'} {answer.body[:100]!r}")
 
 
@@ -177,6 +183,7 @@
 
 
 async def case(record: Record) -> bool:
+    """Play the case; returns whether the rule held."""
     async with Deployment(record, fronts=3) as deployment:
         samplers = [
             SamplerServer(f"i-{number}", service=SERVICE, model=MODEL, slots=SLOTS, length=EVENTS)
@@ -212,6 +219,7 @@
 async def play(
     deployment: Deployment, record: Record, watch: Watch, apps: list[SamplerServer]
 ) -> bool:
+    """Submit the job, bring the foreign entries, and judge."""
     sent_at = record.now()
     record.add(f"sent: job {JOB} of {GROUPS * GROUP_ITEMS} items to {deployment.fronts[0].name}")
     headers = {"Request-Id": JOB, "Content-Type": "application/json"}
@@ -238,11 +246,11 @@
         if item not in watch.finished and seconds >= ALONE_S
     ]
     for item in broken:
-        record.add(
-            f"LOST: {item} was at no sampler for {watch.longest_alone_s[item]:.1f} s, never finished"
-        )
+        alone_s = watch.longest_alone_s[item]
+        record.add(f"LOST: {item} was at no sampler for {alone_s:.1f} s, never finished")
     record.add(
-        f"items accepted {len(watch.alone_s)}, begun {len(watch.begun)}, finished {len(watch.finished)}, LOST {len(broken)}"
+        f"items accepted {len(watch.alone_s)}, begun {len(watch.begun)}, "
+        f"finished {len(watch.finished)}, LOST {len(broken)}"
     )
     return not broken
 
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -20,12 +20,13 @@
 SLOTS = 6
 ROUNDS = 8
 PAUSE_S = 0.3
-"""Between two orders: longer than a refusing server is avoided, shorter than connections are kept."""
+"""Between two orders: longer than a refusing server is avoided, less than connections are kept."""
 WORK_S = 0.025
 READ_BYTES = 65536
 
 
 def configuration() -> dict[str, Any]:
+    """Return the operator's configuration."""
     return {
         "version": 1,
         "routes": [
@@ -62,10 +63,12 @@
         self._tasks: set[asyncio.Task[Any]] = set()
 
     async def start(self) -> None:
+        """Listen on a free port."""
         self._server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
-        self.address = "127.0.0.1:{}".format(self._server.sockets[0].getsockname()[1])
+        self.address = f"127.0.0.1:{self._server.sockets[0].getsockname()[1]}"
 
     def stop(self) -> None:
+        """Stop listening and end all connections."""
         self._server.close()
         for task in list(self._tasks):
             task.cancel()
@@ -80,7 +83,7 @@
                 request_id, expected, body = await _read_request(reader)
                 if late:
                     self._record.add(
-                        f"{self.instance} sends its refusal once more, before it answers {request_id}"
+                        f"{self.instance} sends its refusal again, before it answers {request_id}"
                     )
                     writer.write(late)
                     await writer.drain()
@@ -119,7 +122,13 @@
 
 
 def _head(status: int, request_id: str, instance: str) -> bytes:
-    return f"HTTP/1.1 {status} X\r\nRequest-Id: {request_id}\r\nInstance-Id: {instance}\r\nServer-Load: 0,0,{SLOTS}\r\n".encode()
+    lines = [
+        f"HTTP/1.1 {status} X",
+        f"Request-Id: {request_id}",
+        f"Instance-Id: {instance}",
+        f"Server-Load: 0,0,{SLOTS}",
+    ]
+    return ("\r\n".join(lines) + "\r\n").encode()
 
 
 async def _read_request(reader: asyncio.StreamReader) -> tuple[str, str, bytes]:
@@ -131,6 +140,7 @@
 
 
 async def case(record: Record) -> bool:
+    """Play the case; returns whether the rule held."""
     async with Deployment(record, fronts=1) as deployment:
         servers = [OrderServer("a-near", record), OrderServer("a-far", record)]
         for server, zone in zip(servers, ZONES, strict=False):
@@ -149,6 +159,7 @@
 
 
 async def order(deployment: Deployment, record: Record, request_id: str) -> None:
+    """Send one order as a client does."""
     record.add(f"sent: {request_id}")
     headers = {"Request-Id": request_id, "Deadline-Ms": "2000"}
     answer = await call(deployment.fronts[0].callers, "POST", "/orders/1", headers, b"1000 l")
@@ -157,6 +168,7 @@
 
 
 async def play(deployment: Deployment, record: Record, servers: list[OrderServer]) -> bool:
+    """Send all orders, and judge."""
     for number in range(ROUNDS):
         refused, following = f"order-{number}-refused", f"order-{number}-following"
         servers[0].full_for.add(refused)
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -28,13 +28,14 @@
 RUNS_S = GRACE_S + 2.0
 """How long traffic goes on after the stop began."""
 FINE_AFTER_STOP_S = 3.0
-"""Orders sent up to then are excused if their server still worked in the last sixth of the grace."""
+"""Orders sent up to then are excused if their server worked in the last sixth of the grace."""
 LAST_SIXTH_S = GRACE_S * 5 / 6
 COUNTED_S = GRACE_S + 1.0
 """LOST counts until this long after SIGTERM."""
 
 
 def configuration() -> dict[str, Any]:
+    """Return the operator's configuration."""
     return {
         "version": 1,
         "routes": [
@@ -66,7 +67,7 @@
 
 
 class Client:
-    """Keeps one connection; opens its next one, if its front closes, where the platform leads it."""
+    """Keeps one connection; if its front closes it, the platform leads the next one elsewhere."""
 
     def __init__(self, number: int, front: Front, others: list[Front], record: Record) -> None:
         self._number, self._front, self._others = number, front, others
@@ -75,6 +76,7 @@
         self.orders: list[Order] = []
 
     async def run(self) -> None:
+        """Send orders until cancelled."""
         await asyncio.sleep(self._number * ORDER_EVERY_S)
         while True:
             asked_at = self._record.now()
@@ -119,11 +121,13 @@
         return fields.get("connection") != "close"
 
     def close(self) -> None:
+        """Close the connection."""
         if self._streams is not None:
             self._streams[1].close()
 
 
 async def case(record: Record) -> bool:
+    """Play the case; returns whether the rule held."""
     async with Deployment(record, fronts=3) as deployment:
         servers = [
             SamplerServer(f"a-{number}", service=SERVICE, slots=SLOTS, work_s=WORK_S)
--- a/review/rig.py
+++ b/review/rig.py
@@ -21,8 +21,9 @@
 
 import aiohttp
 from aiohttp import web
-from crankseam.coordination.interface import Put, Transaction
 from crankseam_platform_standins.store_server import StoreServer
+
+from crankseam.coordination.interface import Put, Transaction
 from crankseam_standins.memory_store import MemoryStore
 from crankseam_standins.ports import free_port
 
@@ -242,9 +243,14 @@
 
 
 def main(folder: Path, case: Callable[[Record], Awaitable[bool]]) -> None:
-    """Run a case, write its record, and exit with its status; `case` returns whether the rule held."""
+    """Run a case, write its record, and exit with its status.
+
+    `case` returns whether the rule held.
+    """
     record = Record(folder / "record.txt")
     status = COULD_NOT_RUN
+    # Ends the case in order, so that its fronts are ended too.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     try:
         status = HELD if asyncio.run(case(record)) else BROKEN
     except Exception:
