--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -25,6 +25,7 @@
 from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.paces import SamplerPaces
 
 POLL_INTERVAL_S = 0.05
@@ -125,18 +126,28 @@
         )
         self._update_ranks()
         self._waiting.sort(key=_ORDER)
-        order = self._round_order()
+        try:
+            self._place_in_order(round_, self._round_order())
+        except Exception:
+            # The order among tenants failed: the rest of the round goes by rank alone.
+            log_left_out("order_of_tenants", self._zone)
+            self._place_in_order(round_, RankOrder(self._waiting))
+        self._waiting = [request for request in self._waiting if not request.place.done()]
+        self._report_waits()
+
+    def _place_in_order(self, round_: AssignmentRound, order: RankOrder | RoundOrder) -> None:
         aged: set[str] = set()
         while (request := order.next()) is not None:
             if request.place.done():
                 continue
-            if request.service not in aged and self._aging.is_due(request.service):
-                aged.add(request.service)
-                self._place_aged(round_, request, order)
-            if not request.place.done():
-                self._place(round_, request, order)
-        self._waiting = [request for request in self._waiting if not request.place.done()]
-        self._report_waits()
+            try:
+                if request.service not in aged and self._aging.is_due(request.service):
+                    aged.add(request.service)
+                    self._place_aged(round_, request, order)
+                if not request.place.done():
+                    self._place(round_, request, order)
+            except Exception:
+                log_left_out("item_place", request.need.item or request.service)
 
     def _update_ranks(self) -> None:
         now = time.monotonic()
@@ -144,8 +155,12 @@
             return
         self._next_rank_at = now + RANK_INTERVAL_S
         for request in self._waiting:
-            if request.urgency is not None:
+            if request.urgency is None:
+                continue
+            try:
                 request.rank = request.urgency.rank()
+            except Exception:
+                log_left_out("rank", request.need.item or request.service)
 
     def _round_order(self) -> RankOrder | RoundOrder:
         """Order in which the requests of this round are tried, which are sorted by rank."""
--- a/src/crankseam/jobs/migration_requests.py
+++ b/src/crankseam/jobs/migration_requests.py
@@ -14,6 +14,7 @@
 from crankseam.jobs.migration import PACE_ORDER_MAX_AGE_S
 from crankseam.jobs.places import MemoryLookup, PlaceNeed, may_serve
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry, slots_of
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.paces import SamplerPaces
 
 
@@ -73,7 +74,10 @@
     def grant_all(self) -> None:
         """Grant all requests for which there is room, those with the most events first."""
         for request in sorted(self._open.values(), key=lambda one: -one.need.size.events):
-            self._grant(request)
+            try:
+                self._grant(request)
+            except Exception:
+                log_left_out("migration", request.need.item)
 
     def _grant(self, request: MigrationRequest) -> None:
         need = request.need
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -36,6 +36,7 @@
     completion_at,
     no_estimates,
 )
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.paces import SamplerPaces
 from crankseam.serving.tenants import NO_TENANT
 
@@ -241,9 +242,12 @@
         self._view = view
         self._entry_numbers = itertools.count()
         self._tie_breaks = {back_end.record.id: random.random() for back_end in back_ends}
-        self._heap = [
-            (self._cost(back_end), next(self._entry_numbers), back_end) for back_end in back_ends
-        ]
+        self._heap: list[tuple[Cost, int, BackEnd]] = []
+        for back_end in back_ends:
+            try:
+                self._heap.append((self._cost(back_end), next(self._entry_numbers), back_end))
+            except Exception:
+                log_left_out("place", back_end.record.id)
         heapq.heapify(self._heap)
 
     def _cost(self, back_end: BackEnd) -> Cost:
--- a/src/crankseam/orders/assigner.py
+++ b/src/crankseam/orders/assigner.py
@@ -20,6 +20,7 @@
 from crankseam.orders.urgent_shares import CapacityShares, ServiceShares
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.contention import Contention, NoContention
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.paces import SamplerPaces
 
 log = logging.getLogger(__name__)
@@ -113,7 +114,12 @@
         """
         assigned: dict[str, list[BackEnd]] = {model: [] for model in versions}
         for service, back_ends in self._by_service(versions).items():
-            for model, chosen in self._assign_service(service, back_ends, versions).items():
+            try:
+                chosen_by_model = self._assign_service(service, back_ends, versions)
+            except Exception:
+                log_left_out("assignment", service)
+                continue
+            for model, chosen in chosen_by_model.items():
                 if model in assigned:
                     assigned[model].extend(chosen)
         return assigned
--- a/src/crankseam/scaling/actor.py
+++ b/src/crankseam/scaling/actor.py
@@ -33,6 +33,7 @@
 from crankseam.scaling.plan import plan
 from crankseam.scaling.supply import StabilizedSupply, count_supply
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.routes import Configuration
 
 log = logging.getLogger(__name__)
@@ -107,7 +108,10 @@
             self._ordered_counts.clear()
             self._fence = fence
         for service, bounds in scaled.items():
-            await self._scale_service(service, bounds, fence)
+            try:
+                await self._scale_service(service, bounds, fence)
+            except Exception:
+                log_left_out("scaling", service)
 
     def _scaled_services(self) -> dict[str, ScalingBounds]:
         """Return the operator's limits for each service that is scaled."""
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -15,6 +15,7 @@
 
 from crankseam.serving.cold_starts import DEFAULT_COLD_PER_S, ColdStart
 from crankseam.serving.engine_memory import REMOTE_RUN_TOKENS, EngineMemory, RunSize
+from crankseam.serving.isolation import log_left_out
 from crankseam.serving.load_reports import LoadReport
 
 log = logging.getLogger(__name__)
@@ -195,6 +196,9 @@
         )
         """Returns how many requests this process may send to a cold back end within any second, by
         its id and service; None means no limit."""
+        self.is_service_named: Callable[[str], bool] = lambda _service: True
+        """Whether the configuration in force names a service. Back ends of other services are kept,
+        since a later configuration may name them."""
 
     def update(self, record: BackEndRecord, is_initial_read: bool = False) -> None:
         """Add a back end, or update its entry.
@@ -286,18 +290,25 @@
         return self._by_id.get(back_end.record.id) is back_end
 
     def with_model(self, model: str) -> list[BackEnd]:
-        """Return all back ends that have loaded a model and are not leaving."""
+        """Return all back ends of named services that have loaded a model and are not leaving."""
         return [
             back_end
             for back_end in self._by_id.values()
-            if model in back_end.record.versions and not back_end.record.leaving
+            if model in back_end.record.versions
+            and not back_end.record.leaving
+            and self.is_service_named(back_end.record.service)
         ]
 
     def of_service(self, service: str) -> list[BackEnd]:
         """Return the back ends of a service that accept new work."""
-        return [
-            back_end for back_end in self.not_leaving(service) if self._accepts_new_work(back_end)
-        ]
+        accepting = []
+        for back_end in self.not_leaving(service):
+            try:
+                if self._accepts_new_work(back_end):
+                    accepting.append(back_end)
+            except Exception:
+                log_left_out("accepts_new_work", back_end.record.id)
+        return accepting
 
     def not_leaving(self, service: str) -> list[BackEnd]:
         """Return the back ends of a service that are not leaving, including evacuated zones."""
--- a/src/crankseam/serving/choice.py
+++ b/src/crankseam/serving/choice.py
@@ -20,8 +20,8 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Iterable, Sequence
-from typing import NamedTuple, Protocol
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple, Protocol, TypeVar
 
 from crankseam.serving.back_ends import BackEnd, slots_of
 from crankseam.serving.expected_completion import (
@@ -30,6 +30,7 @@
     completion_at,
     load_at,
 )
+from crankseam.serving.isolation import log_left_out
 
 LOAD_DECIMALS = 2
 """Decimal places to which the load per slot, in requests, is rounded before back ends are compared.
@@ -39,6 +40,9 @@
 from slow and full back ends; with more, processes with the same reports choose more alike."""
 
 
+_Value = TypeVar("_Value")
+
+
 class _Cost(NamedTuple):
     """Sort key of a back end: the lowest one is selected, and earlier fields take precedence."""
 
@@ -90,7 +94,23 @@
         return None
     if time_factors is not None:
         return _choose_contended(remaining, zone, now, time_factors, random_source)
-    return min(remaining, key=lambda back_end: _cost(back_end, zone, now, random_source.random()))
+    costs = _evaluate_each(
+        remaining, lambda back_end: _cost(back_end, zone, now, random_source.random())
+    )
+    return min(costs, key=lambda pair: pair[0])[1] if costs else None
+
+
+def _evaluate_each(
+    back_ends: Iterable[BackEnd], evaluate: Callable[[BackEnd], _Value]
+) -> list[tuple[_Value, BackEnd]]:
+    """Return the back ends with their values, without those whose evaluation fails."""
+    evaluated = []
+    for back_end in back_ends:
+        try:
+            evaluated.append((evaluate(back_end), back_end))
+        except Exception:
+            log_left_out("choice", back_end.record.id)
+    return evaluated
 
 
 def _cost(back_end: BackEnd, zone: str, now: float, tie_break: float) -> _Cost:
@@ -109,11 +129,15 @@
     now: float,
     time_factors: TimeFactors,
     random_source: Draws,
-) -> BackEnd:
+) -> BackEnd | None:
     """Return the better one of a few back ends drawn at random; see the module's rule."""
     usable = [candidate for candidate in candidates if candidate.avoid_until <= now] or candidates
-    free = [candidate for candidate in usable if load_at(candidate, now) < slots_of(candidate)]
-    drawn = random_source.sample(free or usable, min(CANDIDATES, len(free or usable)))
+    loads = _evaluate_each(usable, lambda back_end: load_at(back_end, now))
+    free = [back_end for load, back_end in loads if load < slots_of(back_end)]
+    eligible = free or [back_end for _, back_end in loads]
+    if not eligible:
+        return None
+    drawn = random_source.sample(eligible, min(CANDIDATES, len(eligible)))
     completions = sorted(
         (
             _Completion(
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -49,6 +49,11 @@
     "task_failed": LogEvent(
         "A background task failed; long-running tasks are restarted.", ("task",)
     ),
+    "left_out": LogEvent(
+        "`subject` (a back end, an item or a service) is left out of a decision because of an"
+        " internal error; the others are not affected. `count` such errors since the last line.",
+        ("decision", "subject", "count"),
+    ),
     "suspended": LogEvent(
         "The machine was suspended for `seconds`; watched state is read again and the lease"
         " renewed.",
@@ -97,7 +102,9 @@
         "A requested weight version can't be decoded and is skipped.", ("key", "detail")
     ),
     "back_end_malformed": LogEvent(
-        "The entry of a back end can't be decoded and is skipped.", ("key", "detail")
+        "The entry of a back end isn't valid: it names no back end to use. Logged at a limited rate"
+        " for each key.",
+        ("key", "detail"),
     ),
     "back_ends_read": LogEvent("All back ends were read for the first time.", ("count",)),
     "back_end_in": LogEvent("A new back end appeared in discovery.", ("back_end", "service")),
--- a/src/crankseam/serving/supervisor.py
+++ b/src/crankseam/serving/supervisor.py
@@ -10,6 +10,7 @@
 import logging
 from collections.abc import Awaitable, Callable
 
+from crankseam import clocks
 from crankseam.backoff import Backoff
 
 log = logging.getLogger(__name__)
@@ -19,6 +20,8 @@
 with each further failure."""
 RESTART_CAP_S = 2.0
 """Upper limit of the pause, in seconds."""
+FAILING_WINDOW_S = 10.0
+"""Seconds for which a task counts as failing after a failure; several times `RESTART_CAP_S`."""
 
 
 class Supervisor:
@@ -26,6 +29,16 @@
 
     def __init__(self) -> None:
         self._tasks: set[asyncio.Task[None]] = set()
+        self._failed_at: dict[str, float] = {}
+        """Monotonic time, in seconds, of the last failure of each kept task, by name."""
+
+    def failing_count(self) -> int:
+        """Return the number of kept tasks that failed within the last `FAILING_WINDOW_S`.
+
+        It stays above zero while a task is restarted in vain.
+        """
+        since = clocks.monotonic_s() - FAILING_WINDOW_S
+        return sum(failed_at > since for failed_at in self._failed_at.values())
 
     def keep(self, work: Callable[[], Awaitable[None]], name: str) -> None:
         """Run `work`, and call it again after a pause each time that it fails.
@@ -51,6 +64,7 @@
                 await work()
                 return
             except Exception:
+                self._failed_at[name] = clocks.monotonic_s()
                 log.exception("task_failed", extra={"task": name})
             await asyncio.sleep(backoff.next_delay())
 
