A late answer to another request is dropped, and the own one awaited

Before the answer to it, the nearer server sent a second, late copy of the refusal of an earlier order. With one server left it ran twice there, or its caller was told that it had not run.

The refusal of another request counted as this one's, so the retry rule knew no attempt that may have run.

Evidence: request_answered of such an order names two attempts and "status 503", under another id than the server refused.

Change. own_answers.py compares the id before anything is believed, for requests, streams, items, scores, reports and orders. An answer under another id is read to its end, logged and dropped; PROTOCOL.md says that the own one follows, which is awaited: until the deadline by requests that may run once, 0.5 s by others. The connection stays in use. An answer without an id to a request with one is nobody's, and may have run. Where the id can't tell, a late copy of the request's own refusal as it is sent again, connections help: those of requests that may run once are closed after a refusal, others after a second refusal of one request.

Golden file log_events.json: new event late_answer_dropped, on purpose; nothing else changed there.

--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -124,6 +124,12 @@
         " line. Its load is estimated from the requests of this process alone.",
         ("back_end", "value", "count"),
     ),
+    "late_answer_dropped": LogEvent(
+        "A back end answered where the answer to `request` was due, under the id `answer_of`"
+        " another; that answer is dropped and the own one awaited. `count` such answers since the"
+        " last line.",
+        ("back_end", "request", "answer_of", "status", "count"),
+    ),
     "back_end_slow": LogEvent(
         "By this process's own answers, a back end takes `ratio` times as long as the service's"
         " others; it gets less. `age_s`: age of the latest of `observations`. Contended services"
