A planned stop takes only what it can answer, and cuts off nothing that it passed on

Front.stop waited for a moment without a request, and nothing ended the intake: callers that rest for seconds learn of the stop only by their next answer. The same stop cut in other ways too: a request counted until its handler returned, not until its answer was sent, nor while its head was read; what ran at the end was cut, not answered; jobs were handed over first without a limit of time, so that a store that does not answer used up the grace period; and running calls of peers were cut.

Change. serving/drain.py holds the rule: until 2.6 s after the signal all is taken, as the load balancer needs; then idle connections are closed, so that callers which rest learn of it, and a request that still comes is taken only if its deadline or its route's timeout lies before the end, 7.0 s of 8; else it is refused at once as not run. So whatever is passed on has its time. At the end what still runs gets an answer (504, or 503 where nothing was sent). Streams that begin meanwhile say Connection: close; the handover of jobs runs beside, peers' new calls are answered as not served (which the build before reads as "nothing was done"), running ones are awaited.

Golden file log_events.json: new events drained and stopped_with_peer_calls, on purpose.

--- a/src/crankseam/coordination/peer_http.py
+++ b/src/crankseam/coordination/peer_http.py
@@ -106,6 +106,10 @@
     def __init__(self, handlers: dict[str, CallHandler]) -> None:
         self._handlers = handlers
         self._listener: asyncio.Server | None = None
+        self._refuses_calls = False
+        self._running_calls = 0
+        self._idle = asyncio.Event()
+        self._idle.set()
 
     async def start(self, address: str) -> None:
         """Start to listen on ``address`` (`ip:port`)."""
@@ -123,9 +127,33 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         handle = self._handlers.get(request.path)
-        if handle is None or request.method != "POST":
+        if handle is None or request.method != "POST" or self._refuses_calls:
             return web.Response(status=NOT_SERVED)
-        return web.Response(body=await handle(await request.read()))
+        if request.path == FEED_PATH:
+            return web.Response(body=await handle(await request.read()))
+        self._running_calls += 1
+        self._idle.clear()
+        try:
+            return web.Response(body=await handle(await request.read()))
+        finally:
+            self._running_calls -= 1
+            if not self._running_calls:
+                self._idle.set()
+
+    def refuse_calls(self) -> None:
+        """Answer all further calls as not served, so that peers turn to other processes."""
+        self._refuses_calls = True
+
+    async def wait_idle(self, timeout_s: float) -> None:
+        """Wait until no call is running, for at most `timeout_s` seconds.
+
+        Feeds are not waited for: they wait for changes, and their readers ask another process.
+        """
+        try:
+            async with asyncio.timeout(timeout_s):
+                await self._idle.wait()
+        except TimeoutError:
+            log.warning("stopped_with_peer_calls", extra={"running": self._running_calls})
 
     def close(self) -> None:
         """Stop accepting connections."""
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -11,6 +11,7 @@
 
 import asyncio
 import logging
+import math
 from collections.abc import AsyncGenerator, Callable
 from contextlib import aclosing
 from dataclasses import dataclass, field, replace
@@ -29,6 +30,7 @@
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
 from crankseam.serving.contention import NoContention
+from crankseam.serving.drain import Drain, stopping
 from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.messages import (
     Answer,
@@ -79,6 +81,7 @@
     gate : limits the requests of contended services; no service is limited if it is missing.
     estimates : time factors of the back ends of contended services.
     observer : observes the attempts at contended services.
+    drain : the planned stop of the process, by whose end requests are given up.
 
     Attributes
     ==========
@@ -96,7 +99,9 @@
         gate: OverloadGate | None = None,
         estimates: CompletionEstimates | None = None,
         observer: AttemptObserver | None = None,
+        drain: Drain | None = None,
     ) -> None:
+        self._drain = drain or Drain(math.inf)
         self._gate = gate or OverloadGate(registry, NoContention())
         self._estimates = estimates or no_estimates()
         self._observer = observer or no_observer()
@@ -116,7 +121,7 @@
         Problem : the request was given up; `outcome` states whether it may have run.
         """
         service = self._splitter.pick(route)
-        give_up_at = retry.give_up_time(request, route)
+        give_up_at = min(retry.give_up_time(request, route), self._drain.ends_at)
         tracker = self._guard.track(
             request_identity(request, route), default_crash_limit(route.kind)
         )
@@ -127,14 +132,13 @@
         history = forwarding.history
         answer: Answer | StreamingAnswer | None = None
         try:
-            loop_deadline = asyncio.get_running_loop().time() + give_up_at - clocks.boottime_s()
-            async with asyncio.timeout_at(loop_deadline):
+            async with self._drain.timeout_at(give_up_at):
                 answer = await self._attempt_until_answered(forwarding)
             if answer is not None and not history.rejections and _is_success(answer):
                 forwarding.permit.record_answer()
         except TimeoutError:
             answer = None
-            history.reasons.append(retry.give_up_reason(request, route))
+            history.reasons.append(retry.give_up_reason(request, route, self._drain.ends_at))
         finally:
             if not isinstance(answer, StreamingAnswer):
                 tracker.close()
@@ -157,7 +161,11 @@
     async def _enter_gate(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
         """Return the place of a request; raises Unavailable if it is refused."""
         try:
-            return await self._gate.enter(gate_request)
+            async with self._drain.timeout_at():
+                return await self._gate.enter(gate_request)
+        except TimeoutError:
+            tracker.close()
+            raise stopping() from None
         except BaseException:
             tracker.close()
             raise
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -42,6 +42,16 @@
     "stopped_with_requests_running": LogEvent(
         "The time for the planned stop is over; the remaining requests are cut off.", ("running",)
     ),
+    "drained": LogEvent(
+        "A planned stop has answered its callers. `idle_closed` connections without a request were"
+        " closed, `refused` requests could not have ended in time, and `remaining` connections are"
+        " cut off.",
+        ("idle_closed", "refused", "remaining"),
+    ),
+    "stopped_with_peer_calls": LogEvent(
+        "The time for the planned stop is over; the remaining calls of peers are cut off.",
+        ("running",),
+    ),
     "reloaded": LogEvent("The settings file was read again and is valid."),
     "reload_refused": LogEvent(
         "The settings file is not valid; the current settings remain in effect.", ("errors",)
--- a/src/crankseam/serving/retry.py
+++ b/src/crankseam/serving/retry.py
@@ -17,6 +17,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 
 from crankseam.constants import OUTCOME_NOT_RUN, OUTCOME_UNKNOWN
@@ -119,8 +120,16 @@
     return min(request.deadline, request.received_at + route.timeout_s) - DEADLINE_MARGIN_S
 
 
-def give_up_reason(request: InboundRequest, route: Route) -> str:
-    """Return which limit ends the request: the route's timeout or the caller's deadline."""
+def give_up_reason(request: InboundRequest, route: Route, stop_at: float = math.inf) -> str:
+    """Return which limit ends the request: the route's timeout, the caller's deadline or a stop.
+
+    Parameters
+    ==========
+
+    stop_at : time by which a planned stop gives up all requests; infinite without one.
+    """
+    if stop_at < give_up_time(request, route):
+        return "planned stop"
     is_route_timeout = request.received_at + route.timeout_s <= request.deadline
     return "route's timeout" if is_route_timeout else "caller's deadline"
 
--- a/tests/platform/deployment.py
+++ b/tests/platform/deployment.py
@@ -95,7 +95,7 @@
     async def configure(self, version=1, routes=ROUTES):
         await self.put("op/config", msgspec.json.encode(configuration(version, routes)))
 
-    async def start_front(self, name="front-1", wait_ready=True, **more):
+    async def start_front(self, name="front-1", wait_ready=True, grace_s=8.0, **more):
         callers, readiness = free_port(), free_port()
         settings = ProcessSettings(
             name=name,
@@ -108,7 +108,10 @@
                 peers=f"127.0.0.1:{free_port()}",
             ),
             bounds=Bounds(
-                order_lease_milliseconds=200.0, usage_window_seconds=0.5, usage_late_seconds=20.0
+                grace_seconds=grace_s,
+                order_lease_milliseconds=200.0,
+                usage_window_seconds=0.5,
+                usage_late_seconds=20.0,
             ),
             duties=DutyCalls(address=self.duty_address, usage=bool(self.duty_address)),
             **more,
--- a/tests/platform/test_overload.py
+++ b/tests/platform/test_overload.py
@@ -92,7 +92,7 @@
         sampler.faults.hang = True
     tasks = ask_many(deployment, front, 6, "3000")
     await eventually(lambda: front.gate.waiting_total() == 4)
-    front.ingress.draining = True
+    front.drain.begin()
     for sampler in deployment.samplers:
         sampler.faults.hang = False
     for task in tasks[:2]:
