Planned stop: one way to wait until its end, also for requests that are held back

Reading the diff again: Ingress had the same wait twice, and a request that waits for the quarantine was not ended by the stop, so its caller would have seen a close.

--- a/src/crankseam/serving/drain.py
+++ b/src/crankseam/serving/drain.py
@@ -16,12 +16,15 @@
 
 import asyncio
 import math
-from collections.abc import AsyncIterator
+from collections.abc import AsyncIterator, Coroutine
 from contextlib import asynccontextmanager
+from typing import Any, TypeVar
 
 from crankseam import clocks
 from crankseam.constants import OUTCOME_NOT_RUN
-from crankseam.errors import Unavailable
+from crankseam.errors import Problem, Unavailable
+
+Result = TypeVar("Result")
 
 DEREGISTRATION_S = 2.6
 """Seconds for which a stopping process takes all requests: the load balancer checks readiness every
@@ -93,6 +96,16 @@
             finally:
                 self._timeouts.discard(timeout)
 
+    async def run_until_end(self, work: Coroutine[Any, Any, Result], problem: Problem) -> Result:
+        """Return the result of `work`; raises `problem` if the stop ends before it."""
+        try:
+            async with self.timeout_at() as timeout:
+                return await work
+        except TimeoutError:
+            if not timeout.expired():
+                raise
+            raise problem from None
+
 
 def stopping() -> Unavailable:
     """The refusal of a request that this process does not run any more, and has not run."""
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -125,9 +125,8 @@
         tracker = self._guard.track(
             request_identity(request, route), default_crash_limit(route.kind)
         )
-        await tracker.admit()
         gate_request = GateRequest(request, route, service, give_up_at)
-        permit = await self._enter_gate(gate_request, tracker)
+        permit = await self._drain.run_until_end(self._admit(gate_request, tracker), stopping())
         forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit, gate_request)
         history = forwarding.history
         answer: Answer | StreamingAnswer | None = None
@@ -158,14 +157,11 @@
             return replace(answer, chunks=forwarding.permit.hold_during(answer.chunks))
         return answer
 
-    async def _enter_gate(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
+    async def _admit(self, gate_request: GateRequest, tracker: RequestTracker) -> Permit:
         """Return the place of a request; raises Unavailable if it is refused."""
+        await tracker.admit()
         try:
-            async with self._drain.timeout_at():
-                return await self._gate.enter(gate_request)
-        except TimeoutError:
-            tracker.close()
-            raise stopping() from None
+            return await self._gate.enter(gate_request)
         except BaseException:
             tracker.close()
             raise
