Soak: kept connections, stops in series, foreign entries and late answers

Now 96 callers keep their connections, rest for up to 7 s and use them until the front closes them; fronts are stopped in series that overlap, with SIGHUP and SIGTERM again meanwhile; foreign entries come and go beside and over those of back ends; back ends refuse and answer late.

--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -4,9 +4,13 @@
 from collections import Counter
 from types import SimpleNamespace
 
+import pytest
+from crankseam_platform_standins.sampler_server import Seen
 from crankseam_platform_standins.soak.crowds import SmallRequest, check_small_tenant
 from crankseam_platform_standins.soak.culprits import Culprits
+from crankseam_platform_standins.soak.faults import FaultInjector, FaultWindow
 from crankseam_platform_standins.soak.fleet import TENANTS
+from crankseam_platform_standins.soak.kept_callers import KeptCallers, KeptRequest
 from crankseam_platform_standins.soak.promises import Auditor, JobAccount, Ledger
 from crankseam_platform_standins.soak.run import regression_seeds, soak
 
@@ -121,6 +125,58 @@
     assert [violation.promise for violation in ledger.violations] == ["usage_not_invented"]
 
 
+def stopped_front(front, *, unplanned=None):
+    """Faults of a soak in which a front was stopped at 100 s, beside an unplanned fault."""
+    faults = FaultInjector(None, 1)
+    faults.disturbed.append(FaultWindow("front_stopped", 100.0, front, 107.0))
+    if unplanned is not None:
+        faults.disturbed.append(FaultWindow("front_frozen", *unplanned))
+    return faults
+
+
+@pytest.mark.parametrize(
+    ("sent_at", "ended_at", "status", "violations"),
+    [
+        (105.0, 105.6, 0, ["planned_stop_answers"]),
+        (105.0, 105.6, 200, []),
+        (105.0, 105.6, 504, []),
+        (105.0, 105.6, 500, ["no_internal_error"]),
+        (105.0, 109.0, 0, []),
+        (102.9, 106.7, 0, ["planned_stop_answers"]),
+        (99.5, 100.1, 0, ["planned_stop_answers"]),
+        (90.0, 90.1, 0, []),
+    ],
+    ids=[
+        "cut",
+        "answered",
+        "given_up",
+        "failed",
+        "deadline",
+        "before_the_last_sixth",
+        "under_way",
+        "long_before",
+    ],
+)
+def test_the_soak_notices_a_request_that_a_planned_stop_cut(sent_at, ended_at, status, violations):
+    """Guards against a soak that could not see it: its callers kept no connections."""
+    ledger = Ledger()
+    kept = KeptCallers(None, Auditor(ledger, length=2), ledger, 1)
+    kept.requests = [KeptRequest("q", "front-1", sent_at, ended_at, status)]
+    runs = [Seen("q", "/kept/x", {}, b"", sent_at + 0.01)]
+    kept.check(stopped_front("front-1"), runs, 3.0)
+    assert [one.promise for one in ledger.violations] == violations
+
+
+def test_a_request_beside_an_unplanned_fault_says_nothing_of_a_planned_stop():
+    ledger = Ledger()
+    kept = KeptCallers(None, Auditor(ledger, length=2), ledger, 1)
+    kept.requests = [KeptRequest("q", "front-1", 105.0, 105.6)]
+    runs = [Seen("q", "/kept/x", {}, b"", 105.1)]
+    kept.check(stopped_front("front-1", unplanned=(100.5, "front-1", 102.5)), runs, 3.0)
+    kept.check(stopped_front("front-2"), runs, 3.0)
+    assert not ledger.violations
+
+
 def small_request(served, at=10.0, front="f-0"):
     return SmallRequest("r", at, at + 1.0, served, (front,), (200 if served else 503,))
 
