--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -9,8 +9,14 @@
 from crankseam_platform_standins.soak.crowds import SmallRequest, check_small_tenant
 from crankseam_platform_standins.soak.culprits import Culprits
 from crankseam_platform_standins.soak.faults import FaultInjector, FaultWindow
-from crankseam_platform_standins.soak.fleet import TENANTS
+from crankseam_platform_standins.soak.fleet import (
+    SUSPEND_SIGNAL,
+    TENANTS,
+    FrontProcess,
+    Keys,
+)
 from crankseam_platform_standins.soak.kept_callers import KeptCallers, KeptRequest
+from crankseam_platform_standins.soak.load import Load
 from crankseam_platform_standins.soak.promises import Auditor, JobAccount, Ledger
 from crankseam_platform_standins.soak.run import regression_seeds, soak
 
@@ -177,6 +183,43 @@
     assert not ledger.violations
 
 
+async def test_the_signal_of_a_suspension_does_not_end_a_front_that_is_just_starting(tmp_path):
+    """Guards against a front that a suspension ended (exit code -12) after a restart by a stop."""
+    front = FrontProcess("front-1", SimpleNamespace(port=1), tmp_path, "")
+    await front.start()
+    for _ in range(20):
+        front.signal(SUSPEND_SIGNAL)
+        await asyncio.sleep(0.002)
+    assert await front.process.wait() == 2, "it has no settings, and says so"
+
+
+async def test_a_job_whose_submission_is_under_way_at_the_end_does_not_count_as_refused():
+    """Guards against a false violation: the job was accepted as the load was cancelled."""
+    ledger = Ledger()
+    auditor = Auditor(ledger, length=2)
+    fleet = SimpleNamespace(fronts=[SimpleNamespace(name="f")], keys=Keys(), version=1)
+    load = Load(fleet, auditor, ledger, 1)
+    answers = iter([(503, {}, b"")])
+    asked = asyncio.Event()
+
+    async def ask(*_, **__):
+        for answer in answers:
+            return answer
+        asked.set()
+        await asyncio.Event().wait()
+
+    load._ask = ask
+    job = JobAccount("j", ["a"], 1)
+    submitting = asyncio.create_task(load._submit(None, job))
+    await asked.wait()
+    submitting.cancel()
+    await asyncio.gather(submitting, return_exceptions=True)
+    assert not job.accepted and not job.refused_only
+    auditor.jobs["j"] = job
+    auditor.runs_counted(Counter({"a": 1}))
+    assert not ledger.violations
+
+
 def small_request(served, at=10.0, front="f-0"):
     return SmallRequest("r", at, at + 1.0, served, (front,), (200 if served else 503,))
 
