--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -129,8 +129,8 @@
         try:
             self._place_in_order(round_, self._round_order())
         except Exception:
-            # The order among tenants failed: the rest of the round goes by rank alone.
-            log_left_out("order_of_tenants", self._zone)
+            # The order among tenants failed: the rest of the round is assigned by rank alone.
+            log_left_out("order_of_tenants", "all tenants")
             self._place_in_order(round_, RankOrder(self._waiting))
         self._waiting = [request for request in self._waiting if not request.place.done()]
         self._report_waits()
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -290,7 +290,10 @@
         return self._by_id.get(back_end.record.id) is back_end
 
     def with_model(self, model: str) -> list[BackEnd]:
-        """Return all back ends of named services that have loaded a model and are not leaving."""
+        """Return all back ends that have loaded a model and are not leaving.
+
+        Back ends of a service that the configuration does not name are left out.
+        """
         return [
             back_end
             for back_end in self._by_id.values()
--- a/src/crankseam/serving/drain.py
+++ b/src/crankseam/serving/drain.py
@@ -33,7 +33,8 @@
 """Longest time, in seconds, at the end of the grace period that is reserved for sending the last
 answers, reporting usage and closing."""
 END_MARGIN_FRACTION = 1 / 8
-"""Largest fraction of the grace period that is reserved for this."""
+"""Largest fraction of the grace period that is reserved for this, so that most of a short period is
+left for requests."""
 RETRY_AFTER_STOPPING_S = 0.05
 """`Retry-After`, in seconds, of a request that this process no longer takes: a new connection leads
 to another process."""
@@ -83,7 +84,7 @@
         """Raise Unavailable if a request that arrives now and is due then is no longer taken."""
         if clocks.boottime_s() >= self.takes_until and due_at > self.ends_at:
             self.refused += 1
-            raise stopping()
+            raise stop_refusal()
 
     @asynccontextmanager
     async def timeout_at(self, at: float = math.inf) -> AsyncIterator[asyncio.Timeout]:
@@ -107,8 +108,8 @@
             raise problem from None
 
 
-def stopping() -> Unavailable:
-    """The refusal of a request that this process does not run any more, and has not run."""
+def stop_refusal() -> Unavailable:
+    """Return the error for a request that was not run because this process stops."""
     return Unavailable("stopping", OUTCOME_NOT_RUN, RETRY_AFTER_STOPPING_S)
 
 
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -30,7 +30,7 @@
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.choice import choose_back_end
 from crankseam.serving.contention import NoContention
-from crankseam.serving.drain import Drain, stopping
+from crankseam.serving.drain import Drain, stop_refusal
 from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.messages import (
     Answer,
@@ -126,7 +126,7 @@
             request_identity(request, route), default_crash_limit(route.kind)
         )
         gate_request = GateRequest(request, route, service, give_up_at)
-        permit = await self._drain.run_until_end(self._admit(gate_request, tracker), stopping())
+        permit = await self._drain.run_until_end(self._admit(gate_request, tracker), stop_refusal())
         forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit, gate_request)
         history = forwarding.history
         answer: Answer | StreamingAnswer | None = None
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -135,9 +135,9 @@
         ("back_end", "value", "count"),
     ),
     "late_answer_dropped": LogEvent(
-        "A back end answered where the answer to `request` was due, under the id `answer_of`"
-        " another; that answer is dropped and the own one awaited. `count` such answers since the"
-        " last line.",
+        "While the answer to `request` was awaited, the back end sent one to an earlier request,"
+        " `answer_of`. It is dropped, and the answer to `request` is still awaited. `count` such"
+        " answers since the last line.",
         ("back_end", "request", "answer_of", "status", "count"),
     ),
     "back_end_slow": LogEvent(
--- a/tests/platform/test_late_answers.py
+++ b/tests/platform/test_late_answers.py
@@ -10,7 +10,7 @@
 
 import msgspec
 import pytest
-from crankseam_platform import own_answers
+from crankseam_platform import response_matching
 
 from crankseam.serving.log_interval import LogInterval
 from tests.platform.deployment import ROUTES, Deployment, route
@@ -226,7 +226,7 @@
 
 async def test_a_late_answer_is_logged_with_both_ids_at_a_limited_rate(caplog, monkeypatch):
     caplog.set_level(logging.WARNING)
-    monkeypatch.setattr(own_answers, "_log_interval", LogInterval(lambda: 0.0))
+    monkeypatch.setattr(response_matching, "_log_interval", LogInterval(lambda: 0.0))
     async with OneSampler(late_then_own(LATE_ANSWERS["refusal"])) as running:
         for number in range(5):
             await running.ask("/once/x", f"q{number}")
