--- a/tests/platform/test_ingress.py
+++ b/tests/platform/test_caller_requests.py
@@ -9,7 +9,7 @@
 import pytest
 from aiohttp.test_utils import make_mocked_request
 from crankseam_platform import headers as header_names
-from crankseam_platform.ingress import DEFAULT_DEADLINE_S, caller_deadline
+from crankseam_platform.caller_requests import DEFAULT_DEADLINE_S, caller_deadline
 
 from crankseam import clocks
 from crankseam.constants import OUTCOME_NOT_RUN
