--- a/tests/platform/test_planned_stop.py
+++ b/tests/platform/test_planned_stop.py
@@ -199,6 +199,26 @@
     await stopped(deployment, front, stopping)
 
 
+async def test_a_request_that_is_still_held_back_at_the_end_was_not_run(
+    deployment, quick, monkeypatch
+):
+    """It waited for the quarantine's word, and its connection was closed without an answer."""
+
+    async def hang(self):
+        await asyncio.Event().wait()
+
+    monkeypatch.setattr("crankseam.quarantine.request_tracker.RequestTracker.admit", hang)
+    await deployment.configure()
+    front = await deployment.start_front(grace_s=1.0)
+    async with Caller(front) as caller:
+        asking = asyncio.create_task(caller.ask("/once/x", "held", deadline_ms=9000))
+        await eventually(lambda: front.ingress.running == 1, "the request waits")
+        stopping = asyncio.create_task(front.stop())
+        status, _, body = await asking
+        assert status == 503 and msgspec.json.decode(body)["outcome"] == "not_run"
+    await stopped(deployment, front, stopping)
+
+
 async def test_a_large_answer_to_a_slow_reader_is_sent_whole(deployment, quick):
     """The front counted a request as done before the bytes of its answer were sent."""
     await deployment.configure()
