Review case 8: a stopping front refuses a job as not run after its items have run

Promise tried: a 429 or 503 for a batch job promises that none of it runs (REFUSED). Done: the store answers 503 for 4.5 s, and the front that runs the model's jobs gets SIGTERM 1 s after a job came.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -1,49 +1,60 @@
-"""A request that crashes each sampler after its first event is never held back (BUDGET)."""
+"""A stopping front refuses a job as not run after its items have run (REFUSED)."""
 
 import asyncio
+import signal
 import time
 from pathlib import Path
 
-from rig2 import BROKEN, CONTACT_S, HELD, NOT_RUN, Rig, Sampler, has_trouble, item, run_case
+from rig2 import BROKEN, HELD, NOT_RUN, Rig, Sampler, has_trouble, item, run_case
 
-DEADLY_BODY = b"this prompt ends the sampler that runs it"
-ALLOWED_RETRIES = 3
-"""Retries that the rule allows later than `contact_ms` after the third crash."""
-WATCH_S = 25.0
-EVENTS = 60
-CRASHES_BEFORE = 3
+JOB = "7c41e09b52d6a3f8"
+ITEMS = 16
+DOWN_S = 4.5
+"""Length of the outage of the platform's store; it answers 503 (`platform_down`, busy)."""
+STOP_AT_S = 1.0
+DEADLINE_S = 4.0
+"""Time that the client has; a refusal comes 0.3 s before it, too late for a second attempt."""
+WATCH_S = 8.0
+PROMISES = (408, 421, 429, 503)
 
 
 async def case() -> int:
     rig = Rig(Path(__file__).parent)
-    for number in range(6):
-        sampler = Sampler(rig, f"i-{number}")
-        sampler.events = EVENTS
-        sampler.deadly = lambda run: has_trouble() and run.body == DEADLY_BODY
-        sampler.deadly_events = 1
-        rig.samplers.append(sampler)
+    rig.samplers = [Sampler(rig, f"i-{number}") for number in range(6)]
     async with rig:
         await rig.start()
-        items = [item(f"e{number}") for number in range(8)]
-        items.append(item("deadly", DEADLY_BODY))
-        if (await rig.submit(rig.fronts[0], "7c41e09b52d6a3f8", items)).status != 202:
+        front = await owner_of_model(rig)
+        if front is None:
             return NOT_RUN
+        rig.runs.clear()
+        rig.store.faults.down = True
+        rig.record.note("the store answers 503")
+        down_at = time.monotonic()
+        items = [item(f"e{number}") for number in range(ITEMS)]
+        sent = asyncio.create_task(rig.submit(front, JOB, items, 0.0, DEADLINE_S))
+        await asyncio.sleep(STOP_AT_S)
+        if has_trouble():
+            front.signal(signal.SIGTERM)
+        got = await sent
+        await asyncio.sleep(max(0.0, down_at + DOWN_S - time.monotonic()))
+        rig.store.faults.down = False
+        rig.record.note("the store is back")
         await asyncio.sleep(WATCH_S)
-        got = await rig.call(rig.fronts[1], "GET", "/v1/lots/7c41e09b52d6a3f8?after_rev=0")
-        return verdict(rig, got)
-
-
-def verdict(rig, got) -> int:
-    crashes = sorted(at for one in rig.samplers for at, cause in one.crashes if cause == "deadly")
-    sends = [run for run in rig.runs if run.id == "deadly"]
-    completed = len(got.json()["results"]) if got.status == 200 else -1
-    rig.record.note(f"{len(crashes)} crashes, {len(sends)} sends, {completed} results listed")
-    if len(crashes) < CRASHES_BEFORE:
-        return HELD if not crashes and completed == 9 else NOT_RUN
-    since = crashes[CRASHES_BEFORE - 1] + CONTACT_S
-    late = [run for run in sends if run.at > since]
-    rig.record.note(f"{len(late)} sends later than contact_ms after the third crash")
-    return BROKEN if len(late) > ALLOWED_RETRIES else HELD
+        begun = {run.id for run in rig.runs}
+        rig.record.note(f"the only attempt: {got.status}; {len(begun)} of {ITEMS} items began to run")
+        return BROKEN if got.status in PROMISES and begun else HELD
+
+
+async def owner_of_model(rig):
+    """The front that runs the model's jobs: a job before tells it."""
+    first = "00aa11bb22cc33dd"
+    if (await rig.submit(rig.fronts[0], first, [item("f0")])).status != 202:
+        return None
+    owner = rig.store.entries[f"crankseam/state/owner/{first}"].value.decode()
+    await asyncio.sleep(2.5)
+    await rig.call(rig.fronts[0], "DELETE", f"/v1/lots/{first}")
+    await asyncio.sleep(1.0)
+    return next(front for front in rig.fronts if front.name == owner)
 
 
 run_case(case)
--- a/review/rig2.py
+++ b/review/rig2.py
@@ -504,9 +504,14 @@
         return got
 
     async def submit(
-        self, front: Front, job_id: str, items: list[dict[str, Any]], timeout_s: float = 10.0
+        self,
+        front: Front,
+        job_id: str,
+        items: list[dict[str, Any]],
+        timeout_s: float = 10.0,
+        deadline_s: float | None = None,
     ) -> Got:
-        """Hand in a job; like a client, again after a refusal or no answer."""
+        """Hand in a job; like a client, again after a refusal or no answer until `timeout_s`."""
         document = {"step": 0, "model": MODEL, "min_version": 1, "desired": 1, "requests": items}
         end = time.monotonic() + timeout_s
         while True:
@@ -516,7 +521,7 @@
                 f"{JOB_PREFIX}{job_id[:6]}",
                 {"Request-Id": job_id, "Content-Type": "application/json"},
                 json.dumps(document).encode(),
-                timeout_s,
+                timeout_s if deadline_s is None else deadline_s,
             )
             if got.status == 202 or time.monotonic() > end:
                 return got
