Items that wait follow their route: the service is asked again during the wait

Cause: RoutedPlaces chose the service once and waited in the dispatcher without a limit of time; the route was read again only after a place was granted, and a service without samplers grants none.

The log said nothing of where items wait; wait_redirected does.

Why this works: the dispatcher checks the target of each waiting request with its rank, each 0.25 s, and that check depends on nothing that has to be granted first. Rank and number stay, so the order of the line does. Full parts of a split keep their items: weights are the operator's. The separate check of the version each 0.5 s is part of the same check now.

--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -5,13 +5,15 @@
 Owns the queue of waiting items, and the counts of the places that this process holds at each
 sampler (`in_flight`, `runs`). Relies on the registry for the samplers. The rules are in urgency.py
 (order of the items), aging.py (exceptions from it), fairness/round_order.py (order among tenants),
-places.py (choice of the sampler) and migration.py (migration of runs).
+place_targets.py (choice of the service), places.py (choice of the sampler) and migration.py
+(migration of runs).
 """
 
 from __future__ import annotations
 
 import asyncio
 import itertools
+import logging
 import time
 from operator import attrgetter
 
@@ -21,19 +23,28 @@
 from crankseam.jobs.aging import AgingQuota, WaitingLevel, aged_request
 from crankseam.jobs.migration import max_pace_s
 from crankseam.jobs.migration_requests import MigrationRequest, MigrationRequests
-from crankseam.jobs.places import AssignmentRound, MemoryLookup, PlaceNeed, PlaceRequest
+from crankseam.jobs.place_targets import TargetFinder, usable_services
+from crankseam.jobs.places import (
+    AssignmentRound,
+    MemoryLookup,
+    PlaceNeed,
+    PlaceRequest,
+    may_serve,
+)
 from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry
 from crankseam.serving.expected_completion import CompletionEstimates, no_estimates
 from crankseam.serving.isolation import log_left_out
 from crankseam.serving.paces import SamplerPaces
 
+log = logging.getLogger(__name__)
+
 POLL_INTERVAL_S = 0.05
 """Interval at which places are assigned while items wait, because neither a new load report nor the
 end of a back end's avoidance wakes the dispatcher."""
 RANK_INTERVAL_S = 0.25
-"""Minimum time between two updates of the ranks of all waiting items; equal to the interval at
-which ranks change."""
+"""Minimum time between two updates of the services and ranks of all waiting items; equal to the
+interval at which ranks change."""
 
 _ORDER = attrgetter("rank", "number")
 
@@ -90,6 +101,7 @@
         service: str,
         only_version: int = 0,
         urgency: Urgency | None = None,
+        find_target: TargetFinder | None = None,
     ) -> BackEnd:
         """Wait for a place at a sampler of a service; the caller must release it.
 
@@ -99,11 +111,15 @@
         ==========
 
         urgency : gives the rank during the wait; the rank of `need` if omitted.
+        find_target : checks during the wait at which service the request waits; see
+            place_targets.py. If omitted, the request stays at `service`.
         """
         place: asyncio.Future[BackEnd] = asyncio.get_running_loop().create_future()
         number = next(self._request_numbers)
         rank = urgency.rank() if urgency is not None else need.rank
-        request = PlaceRequest(rank, number, need, service, only_version, place, urgency)
+        request = PlaceRequest(
+            rank, number, need, service, only_version, place, urgency, find_target
+        )
         self._waiting.append(request)
         self._wake.set()
         try:
@@ -124,7 +140,7 @@
         round_ = AssignmentRound(
             self._registry, self.paces, self._zone, self._memory_of, self._estimates
         )
-        self._update_ranks()
+        self._update_waiting()
         self._waiting.sort(key=_ORDER)
         try:
             self._place_in_order(round_, self._round_order())
@@ -149,11 +165,40 @@
             except Exception:
                 log_left_out("item_place", request.need.item or request.service)
 
-    def _update_ranks(self) -> None:
+    def _update_waiting(self) -> None:
+        """Update what the waiting requests depend on: their services and their ranks."""
         now = time.monotonic()
         if now < self._next_rank_at:
             return
         self._next_rank_at = now + RANK_INTERVAL_S
+        self._update_targets(now)
+        self._update_ranks()
+
+    def _update_targets(self, now: float) -> None:
+        redirected: dict[tuple[str, str], list[float]] = {}
+        for request in self._waiting:
+            if request.place.done():
+                continue
+            try:
+                left = request.check_target()
+            except Exception:
+                log_left_out("place_target", request.need.item or request.service)
+                continue
+            if left:
+                waits_s = redirected.setdefault((left, request.service), [])
+                waits_s.append(now - request.need.since_s)
+        for (left, service), waits_s in redirected.items():
+            log.info(
+                "wait_redirected",
+                extra={
+                    "service": service,
+                    "left": left,
+                    "waiting": len(waits_s),
+                    "waited_s": round(max(waits_s), 3),
+                },
+            )
+
+    def _update_ranks(self) -> None:
         for request in self._waiting:
             if request.urgency is None:
                 continue
@@ -260,6 +305,20 @@
             back_end.version_of(model) == version for back_end in self._registry.of_service(service)
         )
 
+    def usable_services(self, services: list[str], need: PlaceNeed, version: int) -> list[str]:
+        """Those of a route's services at which a request may wait; see place_targets.py.
+
+        Parameters
+        ==========
+
+        version : the only suitable weight version; 0 if any is.
+        """
+        return usable_services(
+            self._registry,
+            services,
+            lambda back_end: may_serve(back_end, need.model, need.min_version, version),
+        )
+
     def is_current(self, back_end: BackEnd) -> bool:
         """Whether new work may be sent to this back end now."""
         return self._registry.is_current(back_end)
--- a/src/crankseam/jobs/places.py
+++ b/src/crankseam/jobs/places.py
@@ -27,6 +27,7 @@
 from dataclasses import dataclass, field
 from typing import NamedTuple
 
+from crankseam.jobs.place_targets import PlaceTarget, TargetFinder
 from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd, BackEndRegistry, slots_of
 from crankseam.serving.engine_memory import EMPTY_RUN, EngineMemory, RunSize
@@ -124,6 +125,7 @@
     service : name of the service whose samplers are considered.
     place : receives the chosen sampler.
     urgency : gives the rank during the wait; None if the rank stays.
+    find_target : checks the service and version during the wait; None if they stay.
     kind : kind of the item, by its need.
     """
 
@@ -135,11 +137,28 @@
     """The only weight version that may continue the item's text; 0 if any version may."""
     place: asyncio.Future[BackEnd] = field(compare=False)
     urgency: Urgency | None = field(default=None, compare=False)
+    find_target: TargetFinder | None = field(default=None, compare=False)
     kind: ItemKind = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
+        self.kind = self._kind()
+
+    def check_target(self) -> str:
+        """Find out where to wait now; returns the service that was left, empty if it stays.
+
+        Without a route, the request stays where it is: the route may come back.
+        """
+        current = PlaceTarget(self.service, self.only_version)
+        target = self.find_target(current) if self.find_target is not None else None
+        if target is None or target == current:
+            return ""
+        self.service, self.only_version = target
+        self.kind = self._kind()
+        return current.service if current.service != self.service else ""
+
+    def _kind(self) -> ItemKind:
         need = self.need
-        self.kind = ItemKind(
+        return ItemKind(
             self.service,
             need.model,
             need.min_version,
--- a/src/crankseam/jobs/routed_places.py
+++ b/src/crankseam/jobs/routed_places.py
@@ -1,8 +1,8 @@
 """Finds places at the back ends of a route, and allows for changes of the route during the wait.
 
 Owns no state: a place that it acquires is released when the caller leaves its context. Relies on
-the dispatcher for places, on the splitter to choose among the services of a route, and on the
-newest configuration, which is read again after each wait.
+the dispatcher for places, on place_targets.py to choose among the services of a route, and on the
+newest configuration, which is read again during and after each wait.
 """
 
 from __future__ import annotations
@@ -13,6 +13,7 @@
 from dataclasses import dataclass
 
 from crankseam.jobs.dispatcher import Dispatcher
+from crankseam.jobs.place_targets import PlaceTarget, choose_service
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.urgency import Urgency
 from crankseam.serving.back_ends import BackEnd
@@ -20,9 +21,6 @@
 
 ROUTE_POLL_INTERVAL_S = 0.2
 """Interval at which the newest configuration is checked for a route that is missing."""
-VERSION_CHECK_INTERVAL_S = 0.5
-"""Interval at which an item that waits for one particular weight version checks whether a sampler
-still has it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -89,21 +87,25 @@
         only_version: Callable[[], int],
         urgency: Urgency | None,
     ) -> RoutedPlace:
-        while True:
+        def find_target(current: PlaceTarget | None) -> PlaceTarget | None:
             route = find_route()
             if route is None:
-                await asyncio.sleep(ROUTE_POLL_INTERVAL_S)
-                continue
-            service = self._splitter.pick(route)
+                return None
             version = only_version()
-            try:
-                async with asyncio.timeout(VERSION_CHECK_INTERVAL_S if version else None):
-                    back_end = await self._dispatcher.acquire(need, service, version, urgency)
-            except TimeoutError:
-                # The samplers may no longer have the version: ask for it again.
+            services = [share.service for share in route.shares if share.weight > 0.0]
+            usable = self._dispatcher.usable_services(services, need, version)
+            return PlaceTarget(choose_service(route, usable, current, self._splitter), version)
+
+        while True:
+            target = find_target(None)
+            if target is None:
+                await asyncio.sleep(ROUTE_POLL_INTERVAL_S)
                 continue
-            # The route may have changed during the wait.
+            back_end = await self._dispatcher.acquire(
+                need, target.service, target.only_version, urgency, find_target
+            )
+            # The route may have changed since the wait was last checked.
             route = find_route()
-            if route is not None and route.sends_to(service):
+            if route is not None and route.sends_to(back_end.record.service):
                 return RoutedPlace(route, back_end)
             self._dispatcher.release(back_end, need.item)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -350,6 +350,12 @@
         ("job", "item", "back_end", "reason", "events", "seconds"),
     ),
     "item_given_up": LogEvent("An item waited longer than its route allows.", ("job", "item")),
+    "wait_redirected": LogEvent(
+        "Items and scoring requests, `waiting` in number, that waited for places at service `left`,"
+        " wait at another service from now on: their route or its back ends changed. The longest"
+        " has waited `waited_s`.",
+        ("service", "left", "waiting", "waited_s"),
+    ),
     "tenant_waited": LogEvent(
         "The oldest of a tenant's `waiting` items and scoring requests has waited `waited_s`."
         " `share`, `largest_other`: fractions of the work that this process granted in the last 10"
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -10,6 +10,7 @@
 import enum
 import math
 import random
+from collections.abc import Collection
 from dataclasses import dataclass, field
 
 from crankseam.scaling.model import ScalingBounds
@@ -141,23 +142,30 @@
         self._generator = generator or random.Random()
         self._credits: dict[tuple[str, tuple[Share, ...]], dict[str, float]] = {}
 
-    def pick(self, route: Route) -> str:
-        """Return the service for the next request of a route."""
-        if len(route.shares) == 1:
-            return route.shares[0].service
-        credits = self._credits.get((route.name, route.shares))
+    def pick(self, route: Route, usable: Collection[str] = ()) -> str:
+        """Return the service for the next request of a route.
+
+        Parameters
+        ==========
+
+        usable : names of the services that may be chosen; all of the route if empty.
+        """
+        shares = tuple(share for share in route.shares if share.service in usable) or route.shares
+        if len(shares) == 1:
+            return shares[0].service
+        credits = self._credits.get((route.name, shares))
         if credits is None:
-            credits = self._credits[route.name, route.shares] = {}
+            credits = self._credits[route.name, shares] = {}
             for _ in range(self._generator.randrange(START_POSITIONS)):
-                self._advance(route, credits)
-        return self._advance(route, credits)
+                self._advance(shares, credits)
+        return self._advance(shares, credits)
 
     @staticmethod
-    def _advance(route: Route, credits: dict[str, float]) -> str:
+    def _advance(shares: tuple[Share, ...], credits: dict[str, float]) -> str:
         total = 0.0
-        for share in route.shares:
+        for share in shares:
             credits[share.service] = credits.get(share.service, 0.0) + share.weight
             total += share.weight
-        chosen = max(route.shares, key=lambda share: credits[share.service]).service
+        chosen = max(shares, key=lambda share: credits[share.service]).service
         credits[chosen] -= total
         return chosen
