An item's time to wait is read again when it is over

Seen by callers: a result listed as lost although the route allows its item more time (MIXED), where the operator prolonged max_queue during the wait, or where a process took a job over before it knew its route and took the default of 60 s.

Evidence: test_an_item_is_not_given_up_before_the_time_that_its_route_allows_now failed before (item_given_up at the former time) and passes. A first try ran each item in a second task; tests/jobs/test_earlier_outputs.py showed that an ended job's items then go on for one turn of the loop, and it doubled the tasks. The timer that checks again and lets the limit pass costs neither.

Why this works: the limit passes only if the route, read at that moment, allows it.

--- a/src/crankseam/jobs/runner.py
+++ b/src/crankseam/jobs/runner.py
@@ -10,6 +10,7 @@
 import asyncio
 import logging
 import time
+from collections.abc import Callable
 
 from crankseam.errors import KeyValueError
 from crankseam.jobs.earlier_outputs import JobOutputs
@@ -31,6 +32,22 @@
 """Delay before an item is restarted whose task failed with an unexpected exception."""
 
 
+class _Timer:
+    """A timer that may be started again by its own callback."""
+
+    def __init__(self) -> None:
+        self._handle: asyncio.TimerHandle | None = None
+
+    def start(self, delay_s: float, callback: Callable[[], None]) -> None:
+        """Call back after a delay."""
+        self._handle = asyncio.get_running_loop().call_later(delay_s, callback)
+
+    def cancel(self) -> None:
+        """Do not call back any more."""
+        if self._handle is not None:
+            self._handle.cancel()
+
+
 class JobRunner:
     """Runs all items of one job.
 
@@ -132,15 +149,38 @@
     async def _make_result(self, index: int, item: ItemDefinition) -> ItemResult:
         urgency = self._urgency.of_item(index)
         is_long = item.length_hint > self._long_hint_threshold
-        end_at = give_up_at(self._started_at, self._maker.item_timeout_s(self.job))
+        text = self._texts[item.id]
         try:
-            async with asyncio.timeout(end_at - time.monotonic()):
-                text = self._texts[item.id]
-                return await self._maker.make(self.job, item, urgency, text, is_long)
+            async with asyncio.timeout(None) as limit:
+                timer = self._give_up_when_due(limit)
+                try:
+                    return await self._maker.make(self.job, item, urgency, text, is_long)
+                finally:
+                    timer.cancel()
         except TimeoutError:
             log.warning("item_given_up", extra={"job": self.job.id, "item": item.id})
             return ItemResult(item.id, False)
 
+    def _give_up_when_due(self, limit: asyncio.Timeout) -> _Timer:
+        """Let a limit pass once an item may be given up.
+
+        The route's time is read again when it is over, since the operator may have prolonged it.
+        """
+        timer = _Timer()
+
+        def check() -> None:
+            left_s = self._give_up_at() - time.monotonic()
+            if left_s > 0.0:
+                timer.start(left_s, check)
+            else:
+                limit.reschedule(asyncio.get_running_loop().time())
+
+        check()
+        return timer
+
+    def _give_up_at(self) -> float:
+        return give_up_at(self._started_at, self._maker.item_timeout_s(self.job))
+
     async def list_pending(self) -> None:
         """List the pending results if the job is accepted; see ResultListing.list_pending."""
         if self.accepted.is_set():
--- a/tests/jobs/test_runner.py
+++ b/tests/jobs/test_runner.py
@@ -1,4 +1,5 @@
 import asyncio
+from dataclasses import replace
 
 import msgspec
 
@@ -7,7 +8,7 @@
 from crankseam.jobs.repository import JobRepository
 from crankseam.jobs.runner import JobRunner
 from crankseam_standins.memory_store import MemoryStore
-from tests.jobs.factories import ScriptedSamplers, make_job, make_maker, make_registry
+from tests.jobs.factories import ScriptedSamplers, make_job, make_maker, make_registry, make_route
 from tests.support.waiting import eventually
 
 
@@ -62,3 +63,41 @@
     runner.accepted.set()
     await runner.list_pending()
     assert runner.listing.chunks == 1 and not runner.listing._pending
+
+
+async def test_an_item_is_not_given_up_before_the_time_that_its_route_allows_now():
+    """MIXED: an item was listed as lost by a time that the operator had since prolonged."""
+    job = make_job(items=1)
+    route = replace(make_route(), item_timeout_s=-1.5)
+    routes = [route]
+    samplers = ScriptedSamplers()
+    dispatcher = Dispatcher(make_registry(), "z")
+    maker = make_maker(dispatcher, samplers, find_route=lambda job: routes[0])
+    runner = JobRunner(job, [], {}, [], JobRepository(MemoryStore(), "a"), maker)
+    runner.accepted.set()
+    placing = asyncio.create_task(dispatcher.run())
+    running = asyncio.create_task(runner.run())
+    samplers.hold = asyncio.Event()
+    try:
+        await eventually(lambda: samplers.attempts)
+        routes[0] = replace(route, item_timeout_s=60.0)
+        await asyncio.sleep(1.0)  # the former time has passed
+        samplers.hold.set()
+        await eventually(lambda: runner.listing.results)
+        assert runner.listing.results[0].completed
+    finally:
+        running.cancel()
+        placing.cancel()
+        await asyncio.gather(running, placing, return_exceptions=True)
+
+
+async def test_an_item_is_given_up_when_the_time_of_its_route_is_over():
+    job = make_job(items=1)
+    route = replace(make_route(), item_timeout_s=-1.9)
+    maker = make_maker(
+        Dispatcher(make_registry(), "z"), ScriptedSamplers(), None, lambda job: route
+    )
+    runner = JobRunner(job, [], {}, [], JobRepository(MemoryStore(), "a"), maker)
+    runner.accepted.set()
+    await asyncio.wait_for(runner.run(), 10.0)
+    assert [result.completed for result in runner.listing.results] == [False]
