The weights of a route decide among its parts that have back ends

Seen by callers: with a traffic_split one of whose services has no back end that accepts work, its share of the requests was refused at once (503, not run), although the other parts had room.

Cause: the splitter chose among all parts; nothing told it which can serve.

Evidence: test_a_part_without_back_ends_refuses_nothing_that_the_others_can_serve failed before with Unavailable "no back end took it"; shares of parts that all have back ends are as before (50, 30, 20 of 100).

Why this works: parts without a back end are left out of the choice, those of weight 0 always are. The state of the round robin is kept by the parts among which it chooses, so the shares return with the back ends.

--- a/src/crankseam/jobs/place_targets.py
+++ b/src/crankseam/jobs/place_targets.py
@@ -52,11 +52,11 @@
     services : the services of the route.
     is_suitable : whether a sampler may run the request, now or once it has a free slot.
     """
-    accepting = {service: registry.of_service(service) for service in services}
+    accepting = registry.with_back_ends(services)
     suitable = [
-        service for service, samplers in accepting.items() if any(map(is_suitable, samplers))
+        service for service in accepting if any(map(is_suitable, registry.of_service(service)))
     ]
-    return suitable or [service for service, samplers in accepting.items() if samplers] or services
+    return suitable or accepting or services
 
 
 def choose_service(
--- a/src/crankseam/jobs/routed_places.py
+++ b/src/crankseam/jobs/routed_places.py
@@ -92,8 +92,7 @@
             if route is None:
                 return None
             version = only_version()
-            services = [share.service for share in route.shares if share.weight > 0.0]
-            usable = self._dispatcher.usable_services(services, need, version)
+            usable = self._dispatcher.usable_services(route.weighted_services(), need, version)
             return PlaceTarget(choose_service(route, usable, current, self._splitter), version)
 
         while True:
--- a/src/crankseam/serving/back_ends.py
+++ b/src/crankseam/serving/back_ends.py
@@ -313,6 +313,10 @@
                 log_left_out("accepts_new_work", back_end.record.id)
         return accepting
 
+    def with_back_ends(self, services: list[str]) -> list[str]:
+        """Those of some services that have a back end which accepts new work."""
+        return [service for service in services if self.of_service(service)]
+
     def not_leaving(self, service: str) -> list[BackEnd]:
         """Return the back ends of a service that are not leaving, including evacuated zones."""
         known = self._by_service.get(service, {}).values()
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -120,7 +120,9 @@
 
         Problem : the request was given up; `outcome` states whether it may have run.
         """
-        service = self._splitter.pick(route)
+        service = self._splitter.pick(
+            route, self._registry.with_back_ends(route.weighted_services())
+        )
         give_up_at = min(retry.give_up_time(request, route), self._drain.ends_at)
         tracker = self._guard.track(
             request_identity(request, route), default_crash_limit(route.kind)
--- a/src/crankseam/serving/routes.py
+++ b/src/crankseam/serving/routes.py
@@ -66,6 +66,10 @@
         """Whether a share of the route's requests is sent to a service."""
         return any(share.service == service for share in self.shares)
 
+    def weighted_services(self) -> list[str]:
+        """The services to which the route sends a part of its requests."""
+        return [share.service for share in self.shares if share.weight > 0.0]
+
 
 @dataclass(frozen=True, slots=True)
 class ServiceDefinition:
