A job is refused as not run only where no items may have run

Cause: whether items may have run was read from whether the job's run was still there. The planned stop removes the runs; so do another attempt at the job, a caller that leaves, another owner and the job's end. A job that was accepted before, sent again while the store is away, was refused as not run too. On the same path, the end of a job was refused as not done although its write got no answer and may last.

Why this works: what ran ahead is remembered where runs start, not where they end, and a submission knows of its own run; nothing that ends a run can remove either.

--- a/src/crankseam/jobs/acceptance.py
+++ b/src/crankseam/jobs/acceptance.py
@@ -2,7 +2,8 @@
 
 A job is accepted when its head key is created in the coordination store; from then on it is
 durable. If the store is slow to answer, the job starts speculatively: its items run, but none of
-their results is listed before the job is accepted. No state is kept between submissions.
+their results is listed before the job is accepted. Whether items may have run is remembered with
+the runs, beyond the end of a submission.
 """
 
 from __future__ import annotations
@@ -93,20 +94,25 @@
             deadline: time until which the caller waits, as given by `clocks.boottime_s`.
 
         Raises:
-            AcceptanceUnknown: the store did not report the outcome, or items have run already, so
-                the caller must not assume that the job was or was not accepted.
+            AcceptanceUnknown: the store did not report the outcome, or items may have run already,
+                so the caller must not assume that the job was or was not accepted.
             JobIdTaken: another tenant's job has this id.
             KeyValueUnavailable: the job was not accepted and will not be, and no item has run.
         """
         acceptance = asyncio.create_task(self._create_with_retries(job, deadline))
+        ran_ahead = False
         try:
             done, _ = await asyncio.wait({acceptance}, timeout=SPECULATIVE_START_DELAY_S)
-            if not done and self._claims.active and job.id not in self._running.runners:
-                log.info("job_run_ahead", extra={"job": job.id})
-                self._running.start(job, [], {}, accepted=False)
+            if not done and self._claims.active:
+                ran_ahead = self._running.start(job, [], {}, accepted=False)
+                if ran_ahead:
+                    log.info("job_run_ahead", extra={"job": job.id})
             accepted_job = await acceptance
-        except KeyValueError as error:
-            if self._running.drop_unaccepted(job.id):
+        except (KeyValueError, AcceptanceUnknown) as error:
+            may_have_run = ran_ahead or self._running.may_have_run(job.id)
+            self._running.drop_unaccepted(job.id)
+            _log_refusal(job, error, may_have_run)
+            if may_have_run:
                 raise AcceptanceUnknown(job.id) from error
             raise
         except BaseException:
@@ -161,3 +167,10 @@
         runner = self._running.runners.get(job.id)
         if runner is not None:
             runner.accepted.set()
+
+
+def _log_refusal(job: JobDefinition, error: Exception, may_have_run: bool) -> None:
+    log.warning(
+        "job_not_accepted",
+        extra={"job": job.id, "error": type(error).__name__, "may_have_run": may_have_run},
+    )
--- a/src/crankseam/jobs/errors.py
+++ b/src/crankseam/jobs/errors.py
@@ -45,5 +45,9 @@
     """The job may have been accepted; the outcome is unknown."""
 
 
+class EndUnknown(CrankseamError):
+    """The end of the job may have been recorded, or may still be; the outcome is unknown."""
+
+
 class JobIdTaken(CrankseamError):
     """A job of another tenant was already accepted under this id."""
--- a/src/crankseam/jobs/running.py
+++ b/src/crankseam/jobs/running.py
@@ -1,8 +1,8 @@
 """Keeps the runners of the jobs in this process, their ownership, and the recently ended jobs.
 
 Holds the runners and their tasks, the lease under which this process became the owner of each job,
-and the ids of the most recently ended jobs, so that a delayed submission or claim does not restart
-one. Ownership depends on the process's lease.
+the ids of the most recently ended jobs, so that a delayed submission or claim does not restart one,
+and those of the jobs that ran before they were accepted. Ownership depends on the process's lease.
 """
 
 from __future__ import annotations
@@ -19,9 +19,9 @@
 from crankseam.jobs.runner import JobRunner
 from crankseam.serving.supervisor import Supervisor
 
-MAX_REMEMBERED_ENDED_JOBS = 4096
+MAX_REMEMBERED_JOBS = 4096
 """Number of ended jobs that a process remembers, so that a delayed submission or claim does not
-restart one."""
+restart one; and of jobs that ran before they were accepted, so that none is refused as not run."""
 
 
 class RunnerFactory(Protocol):
@@ -36,6 +36,13 @@
         """A runner that resumes from the listed results and the kept partial texts."""
 
 
+def _remember(jobs: OrderedDict[str, None], job_id: str) -> None:
+    """Add a job to those that a process remembers, and forget the oldest beyond the limit."""
+    jobs[job_id] = None
+    while len(jobs) > MAX_REMEMBERED_JOBS:
+        jobs.popitem(last=False)
+
+
 class RunningJobs:
     """The jobs that run in this process.
 
@@ -74,6 +81,8 @@
         self._owner_leases: dict[str, int] = {}
         """Lease under which this process became a job's owner, by job id."""
         self._ended: OrderedDict[str, None] = OrderedDict()
+        self._ran_ahead: OrderedDict[str, None] = OrderedDict()
+        """Ids of the jobs that started here before they were accepted, the oldest first."""
 
     # --- ownership
 
@@ -104,16 +113,33 @@
         listed: list[list[ItemResult]],
         kept: dict[str, PartialText],
         accepted: bool = True,
-    ) -> None:
-        """Start a job's run, unless the job already runs here or has ended."""
+    ) -> bool:
+        """Start a job's run, unless the job already runs here or has ended.
+
+        Returns
+        =======
+
+        Whether the run was started.
+        """
         if job.id in self.runners or job.id in self._ended:
-            return
+            return False
         runner = self._make_runner(job, listed, kept)
         self.memory.hold(job)
         if accepted:
             runner.accepted.set()
+        else:
+            _remember(self._ran_ahead, job.id)
         self.runners[job.id] = runner
         self._tasks[job.id] = self._supervisor.once(runner.run, f"job {job.id}")
+        return True
+
+    def may_have_run(self, job_id: str) -> bool:
+        """Whether items of a job may have run, as far as this process remembers.
+
+        That its run is gone shows nothing: a planned stop, another owner, the end of the job or of
+        another attempt to submit it may have stopped the run.
+        """
+        return job_id in self.runners or job_id in self._ran_ahead or job_id in self._ended
 
     def count_memory(self, job_id: str) -> None:
         """Count all that a job holds which was just submitted, if it runs here."""
@@ -146,9 +172,7 @@
 
     def end(self, job_id: str) -> None:
         """Stop the run of an ended job, retain its outputs, and prevent a restart."""
-        self._ended[job_id] = None
-        while len(self._ended) > MAX_REMEMBERED_ENDED_JOBS:
-            self._ended.popitem(last=False)
+        _remember(self._ended, job_id)
         runner = self.stop(job_id)
         if runner is not None and not runner.is_large:
             self._earlier_outputs.keep(runner.job, runner.outputs())
--- a/src/crankseam/jobs/service.py
+++ b/src/crankseam/jobs/service.py
@@ -12,11 +12,12 @@
 from crankseam.coordination.follower import DEFAULT_WATCH_WAIT_S, PrefixFollower
 from crankseam.coordination.interface import CoordinationStore, Entry, WatchedStore
 from crankseam.coordination.process_lease import ProcessLease
+from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.acceptance import JobAcceptance
 from crankseam.jobs.claims import JobClaims
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.earlier_outputs import EarlierOutputs
-from crankseam.jobs.errors import JobUnknown
+from crankseam.jobs.errors import EndUnknown, JobUnknown
 from crankseam.jobs.item_maker import ItemMaker
 from crankseam.jobs.item_run import RouteFinder
 from crankseam.jobs.job_memory import JobMemory
@@ -162,13 +163,20 @@
 
         Raises:
             JobUnknown: there is no such job.
+            EndUnknown: the job may have ended, or may still.
+            KeyValueError: the job has not ended.
         """
         if self.running.has_ended(job_id):
             return
         known = self.running.was_owned(job_id) or self._reader.is_cached(job_id)
         if not known and not await self._repository.exists(job_id):
             raise JobUnknown(job_id)
-        await self._repository.end(job_id, tenant)
+        try:
+            await self._repository.end(job_id, tenant)
+        except KeyValueUnavailable:
+            raise
+        except KeyValueError as error:
+            raise EndUnknown(job_id) from error
         log.info("job_ended", extra={"job": job_id})
         self.running.end(job_id)
 
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -280,6 +280,12 @@
         " process runs it.",
         ("job", "tenant", "step", "items", "min_version", "again", "owned"),
     ),
+    "job_not_accepted": LogEvent(
+        "A submitted job was not accepted by its deadline, or the store did not say. Its caller is"
+        " told that nothing ran only if `error` tells that the store refused the job and"
+        " `may_have_run` is false.",
+        ("job", "error", "may_have_run"),
+    ),
     "job_run_ahead": LogEvent(
         "Storing a job takes long; it is run already, but no results are listed until it is"
         " accepted.",
--- a/tests/jobs/test_service.py
+++ b/tests/jobs/test_service.py
@@ -3,11 +3,11 @@
 
 import pytest
 
-from crankseam.coordination.interface import Put, Transaction
+from crankseam.coordination.interface import Entry, Put, Transaction
 from crankseam.errors import KeyValueError, KeyValueUnavailable
 from crankseam.jobs.demand import decode_open_job
 from crankseam.jobs.dispatcher import Dispatcher
-from crankseam.jobs.errors import AcceptanceUnknown, JobUnknown
+from crankseam.jobs.errors import AcceptanceUnknown, EndUnknown, JobUnknown
 from crankseam.jobs.item_seconds import MIN_ITEMS
 from crankseam.jobs.repository import OPEN_PREFIX
 from crankseam.jobs.service import JobService
@@ -326,3 +326,85 @@
 
     other.jobs._repository.read_chunks = no_answer
     await eventually(lambda: not other.jobs.is_owner("j1"), "the owner becomes uncertain")
+
+
+# --- "not run" is said only by a process that knows it
+
+
+async def test_a_job_that_ran_ahead_is_not_refused_as_not_run_by_a_planned_stop(cluster):
+    """REFUSED: the stop removed the run, and with it the only trace that items had run."""
+    store, samplers, start = cluster
+    process = await start("a")
+    store.faults.down = True
+    submitting = asyncio.create_task(process.jobs.submit(make_job(), time.monotonic() + 1.5))
+    await eventually(lambda: len(samplers.attempts) == 3, "the speculative start")
+    await process.jobs.stop()
+    with pytest.raises(AcceptanceUnknown):
+        await submitting
+
+
+async def test_a_job_that_ran_ahead_for_another_attempt_is_not_refused_as_not_run(cluster):
+    """REFUSED: the attempt that ended first took the run away from the others."""
+    store, samplers, start = cluster
+    process = await start("a")
+    store.faults.down = True
+    first = asyncio.create_task(process.jobs.submit(make_job(), time.monotonic() + 2.0))
+    await eventually(lambda: len(samplers.attempts) == 3, "the speculative start")
+    with pytest.raises(AcceptanceUnknown):
+        await process.jobs.submit(make_job(), time.monotonic() + 0.5)
+    with pytest.raises(AcceptanceUnknown):
+        await first
+
+
+async def test_a_job_whose_first_caller_left_after_it_ran_ahead_is_not_refused_as_not_run(cluster):
+    store, samplers, start = cluster
+    process = await start("a")
+    store.faults.down = True
+    first = asyncio.create_task(process.jobs.submit(make_job(), time.monotonic() + 20))
+    await eventually(lambda: len(samplers.attempts) == 3, "the speculative start")
+    first.cancel()
+    await asyncio.gather(first, return_exceptions=True)
+    with pytest.raises(AcceptanceUnknown):
+        await process.jobs.submit(make_job(), time.monotonic() + 0.1)
+
+
+async def test_an_accepted_job_that_is_sent_again_is_not_refused_as_not_run(cluster):
+    store, samplers, start = cluster
+    owner = await start("a")
+    samplers.hold = asyncio.Event()
+    await owner.jobs.submit(make_job(), short_deadline())
+    store.faults.down = True
+    with pytest.raises(AcceptanceUnknown):
+        await owner.jobs.submit(make_job(), time.monotonic() + 0.3)
+
+
+async def test_a_job_that_ran_ahead_and_got_another_owner_is_not_refused_as_not_run(cluster):
+    store, samplers, start = cluster
+    process = await start("a")
+    store.faults.down = True
+    submitting = asyncio.create_task(process.jobs.submit(make_job(), time.monotonic() + 1.5))
+    await eventually(lambda: len(samplers.attempts) == 3, "the speculative start")
+    owner = Entry("crankseam/state/owner/j1", b"b", 7)
+    process.jobs.claims.state_changed(owner.key, owner)
+    assert not process.jobs.running.runners
+    with pytest.raises(AcceptanceUnknown):
+        await submitting
+
+
+async def test_the_end_of_a_job_whose_answer_is_lost_is_not_refused_as_not_done(cluster):
+    store, _, start = cluster
+    process = await start("a")
+    await process.jobs.submit(make_job(), short_deadline())
+    await all_results(process.jobs)
+    store.faults.late = 1000
+    with pytest.raises(EndUnknown):
+        await process.jobs.end("j1")
+
+
+async def test_the_end_of_a_job_that_the_store_refuses_is_known_not_to_be_done(cluster):
+    store, _, start = cluster
+    process = await start("a")
+    await process.jobs.submit(make_job(), short_deadline())
+    store.faults.down = True
+    with pytest.raises(KeyValueUnavailable):
+        await process.jobs.end("j1")
