Items and samples under which back ends crashed are owed: never held back, attempts grow apart

Cause: the quarantine counted items like callers' requests.

Why this works: nothing holds an item but the delay before its next attempt, which is 4 s at most, random and three times as long after each end without an event; no place is held meanwhile. Stored records of items are not looked at. Callers' and scoring requests are held as before.

--- a/src/crankseam/backoff.py
+++ b/src/crankseam/backoff.py
@@ -11,13 +11,40 @@
 import time
 from collections.abc import Callable
 
+CRASH_RETRY_BASE_S = 0.04
+"""Longest first delay of work whose back end crashed. A sampler takes about a dozen items along,
+which need not go to the few others in the same moment; a step waits for each of them."""
+CRASH_RETRY_FACTOR = 3.0
+"""Growth of that delay with each further crash, so that work under which back ends crash again and
+again reaches few of them."""
+CRASH_RETRY_CAP_S = 4.0
+"""Longest delay: an item that is still owed must not wait for 5 s beside free slots."""
+CRASH_RETRY_MIN_FRACTION = 0.5
+"""Shortest delay as a fraction of the longest one; without it, delays could be 0."""
+
 
 class Backoff:
-    """Exponential retry delays: uniform in [0, min(cap, base * 2**failures)]."""
+    """Exponential retry delays: uniform in [0, min(cap, base * 2**failures)].
+
+    Parameters
+    ==========
 
-    def __init__(self, base: float, cap: float, generator: random.Random | None = None) -> None:
+    factor : growth of the upper bound with each failure.
+    min_fraction : lower bound of a delay, as a fraction of the upper bound.
+    """
+
+    def __init__(
+        self,
+        base: float,
+        cap: float,
+        generator: random.Random | None = None,
+        factor: float = 2.0,
+        min_fraction: float = 0.0,
+    ) -> None:
         self._base = base
         self._cap = cap
+        self._factor = factor
+        self._min_fraction = min_fraction
         self._random = generator or random.Random()
         self._failures = 0
 
@@ -27,9 +54,23 @@
 
     def next_delay(self) -> float:
         """Count one failure and return the seconds to wait after it."""
-        ceiling = min(self._cap, self._base * 2.0**self._failures)
+        ceiling = min(self._cap, self._base * self._factor**self._failures)
         self._failures = min(self._failures + 1, 30)
-        return self._random.uniform(0.0, ceiling)
+        return self._random.uniform(self._min_fraction * ceiling, ceiling)
+
+
+def crash_backoff(generator: random.Random | None = None) -> Backoff:
+    """Delays of work that is owed, each between a crash of its back end and its next attempt.
+
+    An item of a job, or a sample of a step, is never given up for the crashes of its back ends.
+    """
+    return Backoff(
+        CRASH_RETRY_BASE_S,
+        CRASH_RETRY_CAP_S,
+        generator,
+        CRASH_RETRY_FACTOR,
+        CRASH_RETRY_MIN_FRACTION,
+    )
 
 
 class TokenBucket:
--- a/src/crankseam/config/kinds.py
+++ b/src/crankseam/config/kinds.py
@@ -84,10 +84,7 @@
     max_running_per_sampler: int = Field(default=64, ge=1)
     """Maximum number of requests that crankseam runs concurrently on one sampler."""
     crash_limit: int = Field(default=3, ge=1)
-    """Samplers that may terminate while generating one sample before the sample is held back.
-
-    Only consecutive terminations without a new token in between are counted.
-    """
+    """Accepted for older files, and without effect: samples are owed, so none is held back."""
     routing: Literal["least_load", "round_robin"] = "least_load"
     """How a sampler is chosen; `round_robin` serves as a baseline for comparison."""
 
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -2,8 +2,8 @@
 
 Owns the item's attempts, its counts of failures and time-outs, and its migration request. The text
 generated so far belongs to the caller and is extended in place. Relies on RoutedPlaces for places,
-on the generation client for events, and on CrashGuard to hold back items that are suspected of
-crashing samplers. The rules are in item_retry.py, urgency.py and migration.py.
+on the generation client for events, and on CrashGuard to detect samplers that crashed. The rules
+are in item_retry.py, urgency.py and migration.py.
 """
 
 from __future__ import annotations
@@ -17,6 +17,7 @@
 from functools import partial
 from typing import Protocol
 
+from crankseam.backoff import crash_backoff
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.item_retry import (
@@ -41,8 +42,7 @@
 from crankseam.jobs.send_outcome import record_send_outcome
 from crankseam.jobs.urgency import Urgency, is_long_run, slots_share
 from crankseam.quarantine.crash_guard import CrashGuard
-from crankseam.quarantine.holding import DEFAULT_ITEM_CRASH_LIMIT
-from crankseam.quarantine.model import RequestIdentity
+from crankseam.quarantine.request_tracker import Send
 from crankseam.serving.back_ends import BackEnd
 from crankseam.serving.contention import Contention, NoContention
 from crankseam.serving.engine_memory import RunSize
@@ -86,10 +86,6 @@
     return ItemResult(item.id, True, "\n".join(text.events), list(text.versions))
 
 
-def _request_identity(job: JobDefinition, item: ItemDefinition) -> RequestIdentity:
-    return RequestIdentity(item.id, job.tenant, "", "POST", job.host, item.path, item.body)
-
-
 class _Migrate(Exception):
     """Ends an attempt because a place at a faster sampler was granted."""
 
@@ -102,7 +98,7 @@
     ==========
 
     find_route : returns the job's route in the newest configuration, None if there is none.
-    guard : holds back items that are suspected of crashing back ends.
+    guard : detects back ends that crashed under an attempt.
     contention : tells for which services callers compete.
     """
 
@@ -143,7 +139,6 @@
         self._places = RoutedPlaces(parts.dispatcher, parts.splitter)
         self._client = parts.client
         self._guard = parts.guard
-        self._tracker = parts.guard.track(_request_identity(job, item), DEFAULT_ITEM_CRASH_LIMIT)
         self.kept = kept
         self._is_expected_long = is_long
         self._expected_s = expected_s
@@ -154,6 +149,9 @@
         self._timeouts = 0
         self._migration_timer = MigrationTimer()
         self._avoided = ""
+        self._crash_backoff = crash_backoff()
+        self._retry_delay_s = 0.0
+        """Seconds that must pass before the next attempt."""
         self._migration: MigrationRequest | None = None
         self._single_version = False
         self.held_s = 0.0
@@ -164,7 +162,6 @@
         try:
             return await self._run()
         finally:
-            self._tracker.abandon()
             unused = self._end_migration()
             if unused is not None:
                 self._dispatcher.release(unused, self.item.id)
@@ -172,10 +169,6 @@
     async def _run(self) -> ItemResult:
         reserved: BackEnd | None = None
         while True:
-            if reserved is not None and not self._tracker.is_admitted():
-                self._dispatcher.release(reserved, self.item.id)
-                reserved = None
-            await self._tracker.wait_until_admitted()
             async with self._places.hold(
                 partial(self._find_route, self.job),
                 self._need(),
@@ -189,6 +182,7 @@
                 self.held_s += time.monotonic() - placed_at
             if result is not None:
                 return result
+            await asyncio.sleep(self._retry_delay_s)
             reserved = self._end_migration()
 
     def _text_version(self) -> int:
@@ -255,11 +249,12 @@
     async def _attempt(self, back_end: BackEnd, route: Route) -> ItemResult | None:
         """Make one attempt at a sampler; None if the item needs another one."""
         self._avoided = ""
+        self._retry_delay_s = 0.0
+        send = Send()
         self._single_version = route.single_version
         self._log("item_sent", back_end, f"load {back_end.expected_load(time.monotonic())}")
         try:
-            with self._tracker.sending() as send:
-                await record_send_outcome(self._guard, send, back_end, self._generate(back_end))
+            await record_send_outcome(self._guard, send, back_end, self._generate(back_end))
         except AttemptNotRun as refusal:
             pause_s = rejected_backoff_s(refusal.had_free_slots)
             back_end.record_rejection(pause_s)
@@ -269,9 +264,12 @@
         except AttemptBroken as failure:
             back_end.record_failure()
             self._avoided = back_end.record.id
-            self._log("item_broken", back_end, failure.reason)
-            self._tracker.report_if_held()
-            await asyncio.sleep(BROKEN_RETRY_DELAY_S)
+            self._retry_delay_s = BROKEN_RETRY_DELAY_S
+            reason = failure.reason
+            if send.crashed_id:
+                self._retry_delay_s = self._crash_backoff.next_delay()
+                reason += f", the sampler ended: sent again after {self._retry_delay_s:.3f} s"
+            self._log("item_broken", back_end, reason)
             return None
         except _Migrate:
             self._avoided = back_end.record.id
@@ -348,7 +346,7 @@
             self.kept.clear()
             raise AttemptBroken("made by two versions")
         self.kept.append(event)
-        self._tracker.on_progress()
+        self._crash_backoff.reset()
 
     def _migrate_if_slow(self, back_end: BackEnd) -> None:
         now = time.monotonic()
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -185,7 +185,6 @@
             agent.may_send_work,
             self.limits,
             probe,
-            self.suspects.quarantine,
         )
         self.rollout = RolloutService(agent, generator)
 
--- a/src/crankseam/quarantine/holding.py
+++ b/src/crankseam/quarantine/holding.py
@@ -4,11 +4,12 @@
 by the store (as recent as the last answer of the watch); seconds since this process learned of the
 last change; sends of the request that are in flight here.
 Rule: A request is held, that is, sent to no back end, once the number of back ends that crashed
-under it reaches its limit (by default two; for an item three, without an event in between). A held
-request is probed up to three times, after holds of 3, 12 and 48 s: the process that wins the
-store's compare-and-swap sends it once, to one back end. A complete answer, or the first event of an
-item, releases the request in all processes. After three probes that crashed a back end, only an
-operator releases it, or it is forgotten after one day.
+under it reaches its limit (by default two). A held request is probed up to three times, after
+holds of 3, 12 and 48 s: the process that wins the store's compare-and-swap sends it once, to one
+back end. A complete answer releases the request in all processes. After three probes that crashed a
+back end, only an operator releases it, or it is forgotten after one day. Requests of callers and
+scoring requests are held; the items of jobs and the samples of steps never are, since they are
+owed: `crash_backoff` of backoff.py spaces their attempts.
 Purpose: A request that crashes every back end cannot take down its service. Healthy requests that
 only shared a back end with it are released after the first hold.
 Logged as: `request_held`, `item_held`, `suspect_probed`, `suspect_released`.
@@ -18,22 +19,16 @@
 
 from __future__ import annotations
 
-from crankseam.serving.routes import RequestKind
-
 DEFAULT_CRASH_LIMIT = 2
 """Number of back ends that crash under one request before it is held. With two, a request that was
 interrupted by an unrelated crash is still served at its second attempt, and a request that crashes
 every back end leaves one of a service's three back ends running."""
-DEFAULT_ITEM_CRASH_LIMIT = 3
-"""The same limit for an item of a job. A sampler that crashes interrupts about twelve items, which
-all resume on other samplers at once. With six samplers, two of the twelve again share a sampler
-with the item that causes the crash, and in one of three cases one of them does so a third time."""
 MAX_PROBES = 3
 """Number of probes of a held request; after the last one only an operator releases it."""
 FIRST_HOLD_S = 3.0
 """Hold before the first probe, which releases a healthy request that only shared a back end with
-the one that causes the crash. A longer hold of an item would delay the training step it is part of.
-"""
+the one that causes the crash. A longer hold of a scoring request would delay the training step it
+is part of."""
 HOLD_FACTOR = 4.0
 """Factor by which the hold grows with each probe under which a back end crashed."""
 SUSPECT_RETENTION_S = 600.0
@@ -47,13 +42,8 @@
 """Pause before a probe is requested again after the store did not grant it or granted it to
 another process."""
 PROBE_POLL_S = 0.05
-"""Interval at which an item whose hold is over checks whether the probe of another suspect has
-finished."""
-
-
-def default_crash_limit(kind: RequestKind) -> int:
-    """Returns the crash limit of requests on routes that do not configure one."""
-    return DEFAULT_ITEM_CRASH_LIMIT if kind is RequestKind.JOB else DEFAULT_CRASH_LIMIT
+"""Interval at which a scoring request whose hold is over checks whether the probe of another
+suspect has finished."""
 
 
 def is_held(crashes: int, crash_limit: int) -> bool:
@@ -94,5 +84,5 @@
 
 
 def probe_pause_s(held_for_s: float) -> float:
-    """Returns the seconds after which an item requests a probe again."""
+    """Returns the seconds after which a scoring request requests a probe again."""
     return min(PROBE_RETRY_S, max(held_for_s, PROBE_POLL_S))
--- a/src/crankseam/quarantine/request_tracker.py
+++ b/src/crankseam/quarantine/request_tracker.py
@@ -37,7 +37,7 @@
 
 
 class RequestTracker:
-    """The sends of one caller's request, item or scoring request, and their outcomes.
+    """The sends of one caller's request or scoring request, and their outcomes.
 
     Parameters
     ==========
@@ -95,11 +95,11 @@
         raise RequestHeld(detail, OUTCOME_NOT_RUN, retry_after_s)
 
     def is_admitted(self) -> bool:
-        """Whether an item or a scoring request is not held, or may be sent as a probe."""
+        """Whether a scoring request is not held, or may be sent as a probe."""
         return self._is_probe or self._held_suspect() is None
 
     async def wait_until_admitted(self) -> None:
-        """Waits until an item or a scoring request is released or this process claims its probe."""
+        """Waits until a scoring request is released or this process claims its probe."""
         suspect = self._held_suspect()
         if suspect is None or self._is_probe:
             return
--- a/src/crankseam/rollout/generation.py
+++ b/src/crankseam/rollout/generation.py
@@ -1,8 +1,9 @@
 """Generates one sample; if a stream breaks, another sampler continues from the tokens received.
 
 This module keeps the partial sample. The router selects the sampler with the least load within the
-staleness bound. The pool's limit, the quarantine and `may_send` decide whether a request may be
-sent now. The weight version of each token is the one that the sampler reports.
+staleness bound. The pool's limit and `may_send` decide whether a request may be sent now; a sample
+whose sampler crashed waits as `crash_backoff` tells, and is never held back. The weight version of
+each token is the one that the sampler reports.
 
 `jobs/item_run` does the same on the users' platform, with intended differences: there, an item is
 assigned a slot at a sampler before the run and keeps it, a run may be moved to a faster sampler,
@@ -16,18 +17,16 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import NamedTuple
 
 from crankseam.back_end_probe import BackEndProbe
-from crankseam.backoff import Backoff
+from crankseam.backoff import Backoff, crash_backoff
 from crankseam.clients.address_probe import refuses_connections
 from crankseam.clients.sampler import CompletionRequest
 from crankseam.config.kinds import BackEnd, Limit, SamplerPool, Trainer
 from crankseam.controllers.limit_shares import LimitShareController
 from crankseam.decisions import Candidate, Decision, DecisionLog
 from crankseam.peers.messages import CompletionOutcome
-from crankseam.quarantine.model import RequestIdentity, crash_id
-from crankseam.quarantine.quarantine import Quarantine
-from crankseam.quarantine.request_tracker import RequestTracker, Send
 from crankseam.rollout.executors import StreamExecutors
 from crankseam.rollout.messages import (
     SampleRequest,
@@ -37,7 +36,6 @@
     oldest_version,
 )
 from crankseam.routing import Choice, Router
-from crankseam.serving.tenants import NO_TENANT
 
 log = logging.getLogger(__name__)
 
@@ -104,24 +102,6 @@
         )
 
 
-def _make_request_identity(job: SampleJob, generation_target: GenerationTarget) -> RequestIdentity:
-    """Return the identity of a sample for the quarantine.
-
-    Samples with the same prompt and `max_tokens` get the same fingerprint.
-    """
-    prompt = f"{job.request.max_tokens} {job.request.prompt}".encode()
-    name = job.name(generation_target.trainer.name)
-    return RequestIdentity(
-        name,
-        NO_TENANT,
-        generation_target.pool.name,
-        "POST",
-        generation_target.pool.name,
-        "",
-        prompt,
-    )
-
-
 @dataclass(frozen=True)
 class GenerationTarget:
     """Trainer, pool and versions for which a sample is generated, as currently known.
@@ -157,6 +137,19 @@
     return refuse
 
 
+class _Attempt(NamedTuple):
+    """One attempt at a sample.
+
+    Attributes
+    ==========
+
+    sampler_crashed : whether the sampler crashed before it generated a token.
+    """
+
+    decision: Decision
+    sampler_crashed: bool
+
+
 class SampleGenerator:
     """Generates samples on the samplers of a pool."""
 
@@ -168,10 +161,8 @@
         may_send: Callable[[], bool],
         shares: LimitShareController,
         probe: BackEndProbe,
-        quarantine: Quarantine,
     ) -> None:
         self._probe = probe
-        self._quarantine = quarantine
         self._shares = shares
         self._executors = executors
         self._may_send = may_send
@@ -189,52 +180,40 @@
         target : returns the current target. It is called for each attempt, because versions and
             configuration may change between attempts.
         """
-        generation_target = target()
-        tracker = RequestTracker(
-            self._quarantine,
-            _make_request_identity(job, generation_target),
-            generation_target.pool.crash_limit,
-        )
-        try:
-            return await self._attempt_until_complete(job, generation, target, tracker)
-        finally:
-            tracker.abandon()
-
-    async def _attempt_until_complete(
-        self,
-        job: SampleJob,
-        generation: int,
-        target: Callable[[], GenerationTarget],
-        tracker: RequestTracker,
-    ) -> SampleResult:
         backoff = Backoff(RETRY_BASE_DELAY_S, RETRY_MAX_JITTER_S)
+        crashes = crash_backoff()
         while True:
-            await tracker.wait_until_admitted()
             generation_target = target()
-            decision = await self._attempt_within_limit(job, generation_target, tracker)
-            if decision is None:
+            tokens_before = len(job.tokens)
+            attempt = await self._attempt_within_limit(job, generation_target)
+            if attempt is None:
                 await asyncio.sleep(RETRY_BASE_DELAY_S + backoff.next_delay())
                 continue
             backoff.reset()
             if job.is_complete:
-                return job.result(generation_target.trainer.name, generation, decision.decision_id)
+                name = generation_target.trainer.name
+                return job.result(name, generation, attempt.decision.decision_id)
+            if len(job.tokens) > tokens_before:
+                crashes.reset()
+            if attempt.sampler_crashed:
+                await asyncio.sleep(crashes.next_delay())
 
     async def _attempt_within_limit(
-        self, job: SampleJob, generation_target: GenerationTarget, tracker: RequestTracker
-    ) -> Decision | None:
+        self, job: SampleJob, generation_target: GenerationTarget
+    ) -> _Attempt | None:
         """Make one attempt if the pool's limit permits; return None if none was started."""
         if generation_target.limit is None:
-            return await self._choose_and_attempt(job, generation_target, tracker)
+            return await self._choose_and_attempt(job, generation_target)
         if not await self._shares.acquire(generation_target.limit):
             return None
         try:
-            return await self._choose_and_attempt(job, generation_target, tracker)
+            return await self._choose_and_attempt(job, generation_target)
         finally:
             self._shares.share_of(generation_target.limit).release()
 
     async def _choose_and_attempt(
-        self, job: SampleJob, generation_target: GenerationTarget, tracker: RequestTracker
-    ) -> Decision | None:
+        self, job: SampleJob, generation_target: GenerationTarget
+    ) -> _Attempt | None:
         if not self._may_send():
             return None
         if job.oldest_version() < generation_target.oldest_allowed:
@@ -247,13 +226,7 @@
             self._router.record_connection_failure(f"{generation_target.pool.name}/{sampler.name}")
             return None
         self._decisions.record(decision)
-        tokens_before = len(job.tokens)
-        with tracker.sending() as send:
-            await self._attempt(job, sampler, generation_target, send)
-        if len(job.tokens) > tokens_before:
-            tracker.on_progress()
-        tracker.report_if_held()
-        return decision
+        return _Attempt(decision, await self._attempt(job, sampler, generation_target))
 
     def has_eligible_sampler(self, generation_target: GenerationTarget) -> bool:
         """Whether any sampler is eligible for a sample now, regardless of free capacity."""
@@ -292,9 +265,15 @@
         return self._router.choose(pool.name, pool.samplers, eligible)
 
     async def _attempt(
-        self, job: SampleJob, sampler: BackEnd, generation_target: GenerationTarget, send: Send
-    ) -> None:
-        """Generate on one sampler until its stream ends or breaks; add the tokens to the job."""
+        self, job: SampleJob, sampler: BackEnd, generation_target: GenerationTarget
+    ) -> bool:
+        """Generate on one sampler until its stream ends or breaks; add the tokens to the job.
+
+        Returns
+        =======
+
+        Whether the sampler crashed before it generated a token.
+        """
         target = f"{generation_target.pool.name}/{sampler.name}"
         completion = CompletionRequest(
             request_id=job.name(generation_target.trainer.name),
@@ -310,10 +289,10 @@
             self._router.finish(target)
         if outcome.refused or outcome.broke:
             self._router.record_connection_failure(target)
-        send.was_not_run = outcome.refused
-        if outcome.broke and not outcome.tokens and await refuses_connections(sampler.address):
-            send.crashed_id = crash_id(sampler.name)
         if outcome.broke:
             log.info("sample broke off", extra={"sampler": sampler.name, "error": outcome.broke})
         if not outcome.refused:
             job.add_outcome(sampler.name, outcome)
+        if not outcome.broke or outcome.tokens:
+            return False
+        return await refuses_connections(sampler.address)
--- a/src/crankseam/serving/forwarding.py
+++ b/src/crankseam/serving/forwarding.py
@@ -22,7 +22,7 @@
 from crankseam.overload.messages import GateRequest
 from crankseam.overload.permits import Permit
 from crankseam.quarantine.crash_guard import CrashGuard
-from crankseam.quarantine.holding import default_crash_limit
+from crankseam.quarantine.holding import DEFAULT_CRASH_LIMIT
 from crankseam.quarantine.model import RequestIdentity
 from crankseam.quarantine.request_tracker import RequestTracker, Send
 from crankseam.serving import retry
@@ -124,9 +124,7 @@
             route, self._registry.with_back_ends(route.weighted_services())
         )
         give_up_at = min(retry.give_up_time(request, route), self._drain.ends_at)
-        tracker = self._guard.track(
-            request_identity(request, route), default_crash_limit(route.kind)
-        )
+        tracker = self._guard.track(request_identity(request, route), DEFAULT_CRASH_LIMIT)
         gate_request = GateRequest(request, route, service, give_up_at)
         permit = await self._drain.run_until_end(self._admit(gate_request, tracker), stop_refusal())
         forwarding = _Forwarding(request, route, service, give_up_at, tracker, permit, gate_request)
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -246,7 +246,7 @@
         ("request", "fingerprint", "ended", "probes", "seconds"),
     ),
     "item_held": LogEvent(
-        "Back ends ended during earlier attempts of an item or of its scoring request; it waits.",
+        "Back ends ended during earlier attempts of an item's scoring request; it waits.",
         ("item", "fingerprint", "ended", "probes"),
     ),
     "suspect_stored": LogEvent(
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -1,9 +1,12 @@
 import asyncio
+import random
+import time
 from dataclasses import replace
 
 import msgspec
 import pytest
 
+from crankseam.backoff import CRASH_RETRY_CAP_S, crash_backoff
 from crankseam.jobs import item_retry
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
@@ -11,8 +14,10 @@
 from crankseam.jobs.model import PartialText
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.urgency import LONG_RUN_EVENTS
+from crankseam.quarantine.holding import MAX_PROBES
+from crankseam.quarantine.model import RequestIdentity, SuspectRecord
 from crankseam.serving.engine_memory import RunSize
-from crankseam.serving.messages import AttemptNotRun
+from crankseam.serving.messages import AttemptBroken, AttemptNotRun
 from crankseam.serving.paces import SamplerPaces
 from tests.fairness.factories import Shares
 from tests.jobs.factories import (
@@ -25,6 +30,7 @@
     make_route,
     make_run,
 )
+from tests.quarantine.factories import FakeAddressProbe, make_guard
 from tests.support.waiting import eventually
 
 
@@ -313,3 +319,86 @@
     run.kept.events.extend("x" * LONG_RUN_EVENTS)
     need = run._need()
     assert need.is_long == is_wanted and need.slots_share == 1.0
+
+
+# --- an item under which samplers ended is still owed
+
+CRASHED = AttemptBroken("reset", lost_connection=True)
+DEADLINE_S = 5.0
+"""Time within which an item that waits must be at a sampler again once all is calm."""
+
+
+def make_unlucky_run(samplers, crashes, records=()):
+    """A run under which samplers end `crashes` times; `records` are suspects that others stored."""
+    registry = make_registry(count=crashes + 2)
+    addresses = FakeAddressProbe()
+    addresses.ended = {f"s{number}" for number in range(crashes + 2)}
+    guard = make_guard(registry, addresses)
+    samplers.scripts = [[CRASHED]] * crashes
+    dispatcher = Dispatcher(registry, "z")
+    run = make_run(dispatcher, samplers, guard=guard)
+    for fingerprint, record in records:
+        guard._quarantine._table.apply_stored(fingerprint, record, 7)
+    return dispatcher, run
+
+
+async def time_of_run(dispatcher, run):
+    """Seconds until the run is complete."""
+    placing = asyncio.create_task(dispatcher.run())
+    began_at = time.monotonic()
+    try:
+        async with asyncio.timeout(60):
+            result = await run.run()
+    finally:
+        placing.cancel()
+    assert result.completed
+    return time.monotonic() - began_at
+
+
+@pytest.mark.parametrize("crashes", [3, 4, 5])
+async def test_an_item_under_which_samplers_ended_is_placed_again_soon(samplers, crashes):
+    """LOST: after three ends it rested for 3, 12 and 48 s, then for a day, beside free slots."""
+    dispatcher, run = make_unlucky_run(samplers, crashes)
+    last_at = []
+    generate = samplers.generate
+
+    def noting(*args, **more):
+        last_at.append(time.monotonic())
+        return generate(*args, **more)
+
+    samplers.generate = noting
+    await time_of_run(dispatcher, run)
+    assert len(last_at) == crashes + 1
+    assert last_at[-1] - last_at[-2] < DEADLINE_S
+
+
+async def test_what_an_earlier_build_stored_of_an_item_does_not_hold_it(samplers):
+    """LOST: an old build beside this one, or before it, stores that the item waits for a day."""
+    job = make_job()
+    item = job.items[0]
+    identity = RequestIdentity(item.id, job.tenant, "", "POST", job.host, item.path, item.body)
+    record = SuspectRecord(["a", "b", "c"], MAX_PROBES, "", "", len(identity.body))
+    dispatcher, run = make_unlucky_run(samplers, 0, [(identity.fingerprint, record)])
+    assert await time_of_run(dispatcher, run) < DEADLINE_S
+
+
+async def test_items_that_lost_their_sampler_do_not_go_back_in_the_same_moment(samplers):
+    delays = [crash_backoff(random.Random(seed)).next_delay() for seed in range(12)]
+    assert max(delays) - min(delays) > 0.01, "spread, not together"
+    repeated = crash_backoff(random.Random(1))
+    spaced = [repeated.next_delay() for _ in range(8)]
+    assert sum(spaced[:6]) > 2.0, "an item that ends each sampler ends few"
+    assert max(spaced) <= CRASH_RETRY_CAP_S < DEADLINE_S
+
+
+async def test_no_place_is_held_while_an_item_waits_after_its_sampler_ended(samplers):
+    dispatcher, run = make_unlucky_run(samplers, 4)
+    placing = asyncio.create_task(dispatcher.run())
+    running = asyncio.create_task(run.run())
+    registry = dispatcher._registry
+    await eventually(lambda: len(samplers.attempts) == 4)
+    await eventually(lambda: all(one.in_flight == 0 for one in registry.of_service("llm")))
+    assert not running.done()
+    running.cancel()
+    placing.cancel()
+    await asyncio.gather(running, placing, return_exceptions=True)
--- a/tests/platform/test_soak.py
+++ b/tests/platform/test_soak.py
@@ -85,6 +85,18 @@
     assert found == {"at_most_once": 1, "refused_never_runs": 2}
 
 
+def test_the_auditor_notices_an_owed_item_that_rests():
+    def violations(run_at, until):
+        ledger = Ledger()
+        runs = {b"x": [1.0, 2.0, run_at]}
+        Auditor(ledger, length=2).unlucky_compared({b"x": [1.1, 2.1]}, runs, {b"x": until})
+        return [one.promise for one in ledger.violations]
+
+    assert violations(14.0, 21.0) == []
+    assert violations(15.0, 21.0) == ["owed_item_placed"]
+    assert violations(15.0, 14.0) == [], "its job was ended before"
+
+
 def test_the_auditor_notices_wrong_answers_and_orders():
     ledger = Ledger()
     auditor = Auditor(ledger, length=2)
