What a server sends is limited: interim responses, answers and bodies without end

Seen by callers: beside two of four servers that send interim responses without end, a front answers nobody any more and grows to 1.2 GB; beside endless bodies, late answers or answers to its own calls it passes the 300 MB of its machine (388, 349, 1,512 MiB), by which it would be killed.

Cause: what a server sends was limited by time only. The HTTP library queues parsed responses without limit, which take a hundred times the memory of their bytes; answers to the process's own calls were read whole; the start of an answer that is passed on went out as one piece, of which the connection kept a copy.

An attempt that meets a limit failed, so a safe request goes to another server and the bad one is avoided.

The stand-in for a response in test_foreign_entries has a body to iterate, since the report is read in pieces.

--- a/src/crankseam/clients/key_value.py
+++ b/src/crankseam/clients/key_value.py
@@ -16,6 +16,7 @@
 import msgspec
 
 from crankseam.backoff import TokenBucket
+from crankseam.clients.bounded_responses import bounded_connector, read_limited
 from crankseam.errors import (
     KeyValueError,
     KeyValueOutcomeUnknown,
@@ -83,6 +84,10 @@
     return prefix[:-1] + chr(ord(prefix[-1]) + 1)
 
 
+MAX_ANSWER_BYTES = 64 * 2**20
+"""Largest answer that is read: all keys of a prefix come in one."""
+
+
 class KeyValueClient:
     """Typed access to the service; every failure raises a `KeyValueError`.
 
@@ -101,7 +106,7 @@
 
     def _open_session(self) -> aiohttp.ClientSession:
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=bounded_connector())
         return self._session
 
     async def close(self) -> None:
@@ -126,7 +131,7 @@
             raise KeyValueUnavailable("no answer") from error
 
     async def _read_answer(self, answer: aiohttp.ClientResponse, is_write: bool) -> dict[str, Any]:
-        content = await answer.read()
+        content = await read_limited(answer, MAX_ANSWER_BYTES)
         if answer.status == 200:
             return msgspec.json.decode(content)
         if answer.status == 429:
--- a/src/crankseam/clients/load_report.py
+++ b/src/crankseam/clients/load_report.py
@@ -11,6 +11,8 @@
 import aiohttp
 from prometheus_client.parser import text_string_to_metric_families
 
+from crankseam.clients.bounded_responses import read_limited
+
 RUNNING = "num_requests_running"
 WAITING = "num_requests_waiting"
 VERSION = "weight_version"
@@ -57,7 +59,7 @@
     try:
         async with session.get(f"http://{address}/metrics", timeout=limit) as answer:
             answer.raise_for_status()
-            return parse_load_report(await answer.text())
+            return parse_load_report((await read_limited(answer)).decode())
     except (aiohttp.ClientError, TimeoutError, ValueError):
         # The caller, a watcher or a probe before sending, counts and reports the failure.
         return None
--- a/src/crankseam/clients/machine_list.py
+++ b/src/crankseam/clients/machine_list.py
@@ -11,6 +11,8 @@
 import aiohttp
 import msgspec
 
+from crankseam.clients.bounded_responses import bounded_connector, read_limited
+
 log = logging.getLogger(__name__)
 
 FETCH_TIMEOUT_S = 2.0
@@ -43,12 +45,12 @@
     async def fetch_or_empty(self) -> list[Machine]:
         """Return the machines in the list; empty if the list cannot be read."""
         if self._session is None:
-            self._session = aiohttp.ClientSession()
+            self._session = aiohttp.ClientSession(connector=bounded_connector())
         timeout = aiohttp.ClientTimeout(total=FETCH_TIMEOUT_S)
         try:
             async with self._session.get(self._url, timeout=timeout) as answer:
                 answer.raise_for_status()
-                content = await answer.read()
+                content = await read_limited(answer)
             return msgspec.json.decode(content, type=MachineList).machines
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             log.info("machine list not read", extra={"error": type(error).__name__})
--- a/src/crankseam/clients/sampler.py
+++ b/src/crankseam/clients/sampler.py
@@ -14,6 +14,7 @@
 import aiohttp
 import msgspec
 
+from crankseam.clients.bounded_responses import read_limited
 from crankseam.errors import CrankseamError
 
 DATA_PREFIX = b"data: "
@@ -28,6 +29,10 @@
 """Timeout of an order; loading a version takes tens of seconds."""
 
 
+MAX_SKIPPED_BYTES = 2**16
+"""Bytes of lines that are no events, such as comments, which may come between two events."""
+
+
 class SamplerError(CrankseamError):
     """The sampler did not complete a request or order."""
 
@@ -142,7 +147,8 @@
                         return
         except aiohttp.ClientConnectorError as error:
             raise SamplerRefused("no connection") from error
-        except (aiohttp.ClientError, TimeoutError, ConnectionError) as error:
+        except (aiohttp.ClientError, TimeoutError, ConnectionError, ValueError) as error:
+            # ValueError: a line is longer than the library reads.
             raise SamplerStreamBroke(type(error).__name__) from error
         raise SamplerStreamBroke("ended without a last chunk")
 
@@ -153,7 +159,7 @@
             url = f"http://{address}/admin/state"
             async with self._session.get(url, timeout=timeout) as answer:
                 answer.raise_for_status()
-                return msgspec.json.decode(await answer.read(), type=SamplerState)
+                return msgspec.json.decode(await read_limited(answer), type=SamplerState)
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise SamplerError(type(error).__name__) from error
 
@@ -179,9 +185,14 @@
 
 
 async def _read_events(answer: aiohttp.ClientResponse) -> AsyncIterator[TokenChunk]:
+    skipped_bytes = 0
     async for line in answer.content:
         if not line.startswith(DATA_PREFIX):
+            skipped_bytes += len(line)
+            if skipped_bytes > MAX_SKIPPED_BYTES:
+                raise SamplerStreamBroke("lines without end that are no events")
             continue
+        skipped_bytes = 0
         data = line[len(DATA_PREFIX) :].strip()
         if data == END_OF_STREAM:
             return
--- a/src/crankseam/clients/weight_store.py
+++ b/src/crankseam/clients/weight_store.py
@@ -12,6 +12,7 @@
 import aiohttp
 import msgspec
 
+from crankseam.clients.bounded_responses import read_limited
 from crankseam.errors import CrankseamError
 
 READ_TIMEOUT_S = 30.0
@@ -46,7 +47,7 @@
         try:
             async with self._session.get(url, timeout=timeout) as answer:
                 answer.raise_for_status()
-                return msgspec.json.decode(await answer.read(), type=WeightIndex).versions
+                return msgspec.json.decode(await read_limited(answer), type=WeightIndex).versions
         except (aiohttp.ClientError, TimeoutError, msgspec.DecodeError) as error:
             raise WeightStoreError(type(error).__name__) from error
 
--- a/src/crankseam/coordination/peer_http.py
+++ b/src/crankseam/coordination/peer_http.py
@@ -13,6 +13,7 @@
 import aiohttp
 from aiohttp import web
 
+from crankseam.clients.bounded_responses import bounded_connector, read_limited
 from crankseam.errors import KeyValueError, KeyValueOutcomeUnknown, KeyValueUnavailable
 
 log = logging.getLogger(__name__)
@@ -33,6 +34,8 @@
 """HTTP status with which a peer answers a kind of call that it does not serve."""
 CONNECT_TIMEOUT_S = 0.4
 """Time limit for the connection to a peer; the call fails after it."""
+MAX_ANSWER_BYTES = 64 * 2**20
+"""Largest answer of a peer that is read; a feed that begins sends all entries of a prefix."""
 MAX_CALL_BYTES = 4 * 1024 * 1024
 """The listener rejects calls with a larger body."""
 BROADCAST_TIMEOUT_S = 1.0
@@ -52,7 +55,7 @@
 
     async def start(self) -> None:
         """Open the HTTP session; requires a running event loop."""
-        self._session = aiohttp.ClientSession()
+        self._session = aiohttp.ClientSession(connector=bounded_connector())
 
     async def close(self) -> None:
         """Close all connections."""
@@ -75,7 +78,7 @@
         url = f"http://{address}{path}"
         try:
             async with self._session.post(url, data=body, timeout=timeout) as response:
-                answer = await response.read()
+                answer = await read_limited(response, MAX_ANSWER_BYTES)
                 if response.status == NOT_SERVED:
                     raise KeyValueUnavailable("peer: does not serve this")
                 if response.status != 200:
--- a/src/crankseam/node.py
+++ b/src/crankseam/node.py
@@ -15,10 +15,10 @@
 import time
 from typing import Protocol
 
-import aiohttp
 from aiohttp import web
 
 from crankseam.back_end_probe import BackEndProbe
+from crankseam.clients.bounded_responses import bounded_connector
 from crankseam.clients.key_value import KeyValueClient
 from crankseam.clients.sampler import SamplerClient
 from crankseam.clients.single_send import single_send_session
@@ -110,7 +110,7 @@
         """Join the cluster and start to serve callers."""
         self._session = single_send_session(
             trace_configs=[dispatch_trace_config()],
-            connector=aiohttp.TCPConnector(limit=MAX_BACK_END_CONNECTIONS),
+            connector=bounded_connector(limit=MAX_BACK_END_CONNECTIONS),
             auto_decompress=False,
         )
         app = web.Application()
--- a/src/crankseam/requests/forward.py
+++ b/src/crankseam/requests/forward.py
@@ -20,6 +20,7 @@
 
 from crankseam.back_end_probe import BackEndProbe
 from crankseam.clients.address_probe import refuses_connections
+from crankseam.clients.bounded_responses import MAX_UNSIZED_ANSWER_BYTES, read_limited
 from crankseam.config.kinds import BackEnd
 from crankseam.constants import (
     DEADLINE_HEADER,
@@ -194,7 +195,8 @@
         async with request as upstream:
             headers = end_to_end_headers(upstream.headers)
             if context.must_not_repeat:
-                return Answer(upstream.status, headers, await upstream.read())
+                body = await read_limited(upstream, MAX_UNSIZED_ANSWER_BYTES)
+                return Answer(upstream.status, headers, body)
             return await self._stream(context, upstream, headers)
 
     @staticmethod
--- a/src/crankseam/requests/home_region.py
+++ b/src/crankseam/requests/home_region.py
@@ -13,6 +13,7 @@
 
 import aiohttp
 
+from crankseam.clients.bounded_responses import MAX_UNSIZED_ANSWER_BYTES, read_limited
 from crankseam.cluster.agent import ClusterAgent
 from crankseam.constants import (
     DEADLINE_HEADER,
@@ -81,7 +82,7 @@
         try:
             async with asyncio.timeout(max(0.0, context.remaining())):
                 async with request as answer:
-                    body = await answer.read()
+                    body = await read_limited(answer, MAX_UNSIZED_ANSWER_BYTES)
                     return Answer(answer.status, end_to_end_headers(answer.headers), body)
         except aiohttp.ClientConnectorError:
             raise
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -134,6 +134,11 @@
         " line. Its load is estimated from the requests of this process alone.",
         ("back_end", "value", "count"),
     ),
+    "endless_response": LogEvent(
+        "A server sent more than any answer has, interim responses or bodies without end; the"
+        " connection was closed. `count` such connections since the last line about it.",
+        ("server", "reason", "count"),
+    ),
     "late_answer_dropped": LogEvent(
         "While the answer to `request` was awaited, the back end sent one to an earlier request,"
         " `answer_of`. It is dropped, and the answer to `request` is still awaited. `count` such"
--- a/tests/crowds/deployment.py
+++ b/tests/crowds/deployment.py
@@ -141,6 +141,7 @@
             "Request-Id": f"q-{next(self._numbers):08x}",
             "Deadline-Ms": "20000",
         }
+        self._last_id = lines["Request-Id"]
         lines |= {name.replace("_", "-"): value for name, value in headers.items()}
         if length is None:
             lines["Transfer-Encoding"] = "chunked"
@@ -166,6 +167,27 @@
             await asyncio.sleep(pause_s)
         raise AssertionError(f"an ordinary request of {len(body)} bytes saw {seen}")
 
+    def last_request_id(self):
+        """Id of the request whose head was made last."""
+        return self._last_id
+
+    def name_version(self, version):
+        """Name a weight version, which all samplers are to load."""
+        named = {"model": "m", "version": version}
+        self._put("op/version/m", msgspec.json.encode(named))
+
+    async def get(self, path):
+        """Read the body of a `GET`; empty if the status is another than 200."""
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.callers, limit=MIB)
+        try:
+            writer.write(f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\n\r\n".encode())
+            head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
+            fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
+            body = await reader.readexactly(int(fields.get("content-length", 0)))
+            return body if int(head.split()[1]) == 200 else b""
+        finally:
+            writer.close()
+
     async def _ask(self, body, path):
         reader, writer = await asyncio.open_connection("127.0.0.1", self.callers, limit=MIB)
         try:
@@ -173,12 +195,23 @@
             sending = asyncio.create_task(self._send(writer, body))
             head = (await reader.readuntil(b"\r\n\r\n")).decode().lower()
             fields = dict(line.split(": ", 1) for line in head.split("\r\n")[1:] if ": " in line)
-            answer = await reader.readexactly(int(fields.get("content-length", 0)))
+            if fields.get("transfer-encoding") == "chunked":
+                answer = await self._read_chunks(reader)
+            else:
+                answer = await reader.readexactly(int(fields.get("content-length", 0)))
             sending.cancel()
             return int(head.split()[1]), float(fields.get("retry-after", 0.3)), answer
         finally:
             writer.close()
 
+    @staticmethod
+    async def _read_chunks(reader):
+        """Read a body in chunks; raises EOFError if its end is missing."""
+        body = bytearray()
+        while size := int(await reader.readuntil(b"\r\n"), 16):
+            body += (await reader.readexactly(size + 2))[:-2]
+        return bytes(body)
+
     @staticmethod
     async def _send(writer, body):
         try:
--- a/tests/platform/test_foreign_entries.py
+++ b/tests/platform/test_foreign_entries.py
@@ -215,11 +215,12 @@
 
 
 async def test_a_malformed_report_of_a_sampler_counts_as_unanswered():
-    class Response:
-        status, body = 200, b'{"models":' + b"[" * 100_000
+    class Body:
+        async def iter_any(self):
+            yield b'{"models":' + b"[" * 100_000
 
-        async def read(self):
-            return self.body
+    class Response:
+        status, content = 200, Body()
 
     class Samplers:
         async def open(self, *_):
--- a/tests/serving/test_log_events.py
+++ b/tests/serving/test_log_events.py
@@ -28,6 +28,7 @@
 ]
 FILES = [file for folder in FOLDERS for file in folder.glob("*.py")]
 FILES.append(ROOT / "src/crankseam/machine_retirement.py")
+FILES.append(ROOT / "src/crankseam/clients/bounded_responses.py")
 INDIRECT_CALL_FIELDS = {
     "item_run.py": {"job", "item", "back_end", "reason", "events", "seconds"},
     "scoring.py": {"job", "item", "request", "back_end", "reason", "seconds"},
