--- a/src/crankseam_standins/ports.py
+++ b/src/crankseam_standins/ports.py
@@ -1,10 +1,13 @@
 """Chooses loopback ports for listeners that start later.
 
-Records the ports that this process has assigned, so that none is assigned twice.
+Records the ports that this process has assigned, so that none is assigned twice. Processes that
+were started one after the other assign ports of different slices: a port is in use by nobody while
+the program behind it starts again.
 """
 
 from __future__ import annotations
 
+import os
 import random
 import socket
 from pathlib import Path
@@ -14,6 +17,8 @@
 """First port of the default ephemeral range of Linux, used if the range cannot be read."""
 CANDIDATES = 12000
 """Number of ports directly below the ephemeral range from which a port is chosen."""
+SLICES = 24
+"""Number of slices of the candidates; a process assigns ports of one."""
 
 _assigned_ports: set[int] = set()
 
@@ -26,12 +31,18 @@
     """
     first = _first_ephemeral()
     while True:
-        port = random.randrange(first - CANDIDATES, first)
+        port = _slice_start(first) + random.randrange(CANDIDATES // SLICES)
         if port not in _assigned_ports and _is_free(port):
             _assigned_ports.add(port)
             return port
 
 
+def _slice_start(first_ephemeral: int) -> int:
+    """First port of this process's slice."""
+    number = os.getpid() % SLICES
+    return first_ephemeral - CANDIDATES + number * (CANDIDATES // SLICES)
+
+
 def _first_ephemeral() -> int:
     try:
         return int(EPHEMERAL_RANGE.read_text(encoding="ascii").split()[0])
