A status that is none of HTTP's is no answer

Cause: the HTTP library takes any three digits for a status, and all code behind it passed on what is neither a rejection nor a server error.

Why this works: the rule stands at the border, in the connections that all clients use: an answer has a status from 200 to 599, another one ends its connection, and the attempt gave no answer.

--- a/src/crankseam/clients/bounded_responses.py
+++ b/src/crankseam/clients/bounded_responses.py
@@ -1,10 +1,11 @@
 """Limits of what a server may send on a connection, for servers that send without end.
 
-A server in trouble may send bytes without end: interim responses, responses that nobody asked for,
-or a body. The HTTP library keeps parsed responses in a queue without limit, and reads a body for as
-long as it lasts. Here a connection is closed once it brings too many responses, and a body that is
-read whole is limited in size. The size of a head is limited by the library.
-Logged as: `endless_response`.
+A server in trouble may send a status that is none, which is no answer. And it may send bytes
+without end: interim responses, responses that nobody asked for, or a body. The HTTP library keeps
+parsed responses in a queue without limit, and reads a body for as long as it lasts. Here a
+connection is closed once it brings too many responses, and a body that is read whole is limited in
+size. The size of a head is limited by the library.
+Logged as: `endless_response`, `status_invalid`.
 """
 
 from __future__ import annotations
@@ -12,6 +13,7 @@
 import asyncio
 import functools
 import logging
+from http import HTTPStatus
 from typing import Any
 
 import aiohttp
@@ -25,6 +27,8 @@
 
 log = logging.getLogger(__name__)
 
+FINAL_STATUSES = range(200, 600)
+"""Statuses of answers: lower ones announce an answer, all others are undefined (RFC 9110, 15)."""
 MAX_INTERIM_RESPONSES = 16
 """Interim responses (status 1xx) that may come before one response."""
 MAX_UNREAD_RESPONSES = 16
@@ -58,8 +62,12 @@
     """A server sent more responses than requests were sent to it."""
 
 
+class InvalidStatus(BadHttpMessage):
+    """A server sent a status that is none of HTTP's."""
+
+
 class BoundedResponseHandler(ResponseHandler):
-    """A connection that is closed once the server sends too many responses on it.
+    """A connection that is closed once the server sends too many responses on it, or no answer.
 
     Interim responses are dropped as they arrive: no request here asks for one.
     """
@@ -69,12 +77,12 @@
         self._interim_count = 0
         self._tiny_chunk_bytes = 0
         self._fruitless_bytes = 0
-        self._is_over_limit = False
+        self._is_refused = False
 
     def data_received(self, data: bytes) -> None:
         """Parse what has arrived, in pieces; see `PARSED_BYTES`."""
         for start in range(0, max(1, len(data)), PARSED_BYTES):
-            if self._is_over_limit:
+            if self._is_refused:
                 return
             self._parse(data[start : start + PARSED_BYTES])
 
@@ -103,21 +111,39 @@
                 self._close("interim responses without end")
             return
         self._interim_count = self._tiny_chunk_bytes = 0
+        if message.code not in FINAL_STATUSES:
+            self._refuse_status(message.code)
+            return
         if len(self) >= MAX_UNREAD_RESPONSES:
             self._close("responses without end")
             return
         super().feed_data(data, size)
 
+    def _refuse_status(self, status: int) -> None:
+        server = self._server()
+        count = _log_interval.count_if_due(f"status of {server}")
+        if count:
+            log.warning(
+                "status_invalid", extra={"server": server, "status": status, "count": count}
+            )
+        self._abort(InvalidStatus(f"status {status}"))
+
     def _close(self, reason: str) -> None:
-        if self._is_over_limit:
-            return
-        self._is_over_limit = True
-        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
-        log_endless(":".join(map(str, peer or ())), reason)
-        self.set_exception(TooManyResponses(reason))
+        if not self._is_refused:
+            log_endless(self._server(), reason)
+            self._abort(TooManyResponses(reason))
+
+    def _abort(self, error: BadHttpMessage) -> None:
+        self._is_refused = True
+        self.set_exception(error)
         if self.transport is not None:
             self.transport.abort()
 
+    def _server(self) -> str:
+        """Address of the server, as in `host:port`."""
+        peer = self.transport.get_extra_info("peername") if self.transport is not None else None
+        return ":".join(map(str, peer or ()))
+
 
 def _body_progress(body: StreamReader | None) -> tuple[int, int]:
     """Number of chunks of a body that were not read yet, and of bytes that have arrived of it."""
@@ -132,8 +158,11 @@
 
 
 def is_interim(status: int) -> bool:
-    """Whether a status announces another response; 101 would end the use of HTTP instead."""
-    return 100 <= status < 200 and status != 101
+    """Whether a status announces another response.
+
+    101 would end the use of HTTP instead, for which no request here asks.
+    """
+    return 100 <= status < 200 and status != HTTPStatus.SWITCHING_PROTOCOLS
 
 
 def bounded_connector(**options: Any) -> aiohttp.TCPConnector:
--- a/src/crankseam/serving/log_events.py
+++ b/src/crankseam/serving/log_events.py
@@ -139,6 +139,11 @@
         " connection was closed. `count` such connections since the last line about it.",
         ("server", "reason", "count"),
     ),
+    "status_invalid": LogEvent(
+        "A server sent a status that is none of HTTP's; it is no answer, and the connection was"
+        " closed. `count` such statuses since the last line about it.",
+        ("server", "status", "count"),
+    ),
     "late_answer_dropped": LogEvent(
         "While the answer to `request` was awaited, the back end sent one to an earlier request,"
         " `answer_of`. It is dropped, and the answer to `request` is still awaited. `count` such"
