An answer that has no body by its status ends with its head

Seen by callers: 504 for an answer of status 204 or 304 without Content-Length, once their time was over. Found by the test of all statuses.

Cause: a body without a length and without chunks ends with its connection; the check of that end was made also for answers that have no body, so a kept connection was awaited until the deadline.

Evidence: test_every_status_of_an_answer_is_passed_on, 204 and 304, two routes each, failed before and pass.

--- a/tests/platform/test_statuses.py
+++ b/tests/platform/test_statuses.py
@@ -13,7 +13,7 @@
 
 NO_STATUSES = ["000", "0", "", "020", "099", "20", "2 00", "600", "999", "1000", "-200", "abc"]
 INTERIM_STATUSES = ["100", "101", "103", "199"]
-STATUSES = ["200", "299", "404", "418", "499", "500", "599"]
+STATUSES = ["200", "204", "299", "304", "404", "418", "499", "500", "599"]
 
 
 def answer(status, request_id, reason=" X", body=b"odd"):
