--- a/src/crankseam/jobs/dispatcher.py
+++ b/src/crankseam/jobs/dispatcher.py
@@ -81,7 +81,9 @@
         self._wake = asyncio.Event()
         self.paces = paces if paces is not None else SamplerPaces()
         self._migrations = MigrationRequests(registry, self.paces, memory_of)
-        registry.on_change.append(self._wake.set)
+        self._usable_services: dict[tuple[tuple[str, ...], str, int, int], list[str]] = {}
+        """See `usable_services`; the answers since the last change of the back ends or update."""
+        registry.on_change += [self._wake.set, self._usable_services.clear]
 
     async def run(self) -> None:
         """Assign places until cancelled."""
@@ -175,6 +177,7 @@
         self._update_ranks()
 
     def _update_targets(self, now: float) -> None:
+        self._usable_services.clear()
         redirected: dict[tuple[str, str], list[float]] = {}
         for request in self._waiting:
             if request.place.done():
@@ -313,11 +316,15 @@
 
         version : the only suitable weight version; 0 if any is.
         """
-        return usable_services(
-            self._registry,
-            services,
-            lambda back_end: may_serve(back_end, need.model, need.min_version, version),
-        )
+        key = (tuple(services), need.model, need.min_version, version)
+        usable = self._usable_services.get(key)
+        if usable is None:
+            usable = self._usable_services[key] = usable_services(
+                self._registry,
+                services,
+                lambda back_end: may_serve(back_end, need.model, need.min_version, version),
+            )
+        return usable
 
     def is_current(self, back_end: BackEnd) -> bool:
         """Whether new work may be sent to this back end now."""
--- a/src/crankseam/jobs/item_run.py
+++ b/src/crankseam/jobs/item_run.py
@@ -162,9 +162,7 @@
         try:
             return await self._run()
         finally:
-            unused = self._end_migration()
-            if unused is not None:
-                self._dispatcher.release(unused, self.item.id)
+            self._drop_migration()
 
     async def _run(self) -> ItemResult:
         reserved: BackEnd | None = None
@@ -182,6 +180,8 @@
                 self.held_s += time.monotonic() - placed_at
             if result is not None:
                 return result
+            if self._retry_delay_s > BROKEN_RETRY_DELAY_S:
+                self._drop_migration()
             await asyncio.sleep(self._retry_delay_s)
             reserved = self._end_migration()
 
@@ -240,6 +240,12 @@
         request, self._migration = self._migration, None
         return self._dispatcher.end_migration(request) if request is not None else None
 
+    def _drop_migration(self) -> None:
+        """End the migration request, and release the place that it was granted."""
+        unused = self._end_migration()
+        if unused is not None:
+            self._dispatcher.release(unused, self.item.id)
+
     def _is_long(self) -> bool:
         """Whether the item's step is likely to wait for it."""
         if not self._urgency.is_wanted():
--- a/tests/jobs/test_item_run.py
+++ b/tests/jobs/test_item_run.py
@@ -11,6 +11,7 @@
 from crankseam.jobs.dispatcher import Dispatcher
 from crankseam.jobs.errors import ItemFailed, ItemImpossible
 from crankseam.jobs.item_seconds import DEFAULT_ITEM_S
+from crankseam.jobs.migration_requests import MigrationRequest
 from crankseam.jobs.model import PartialText
 from crankseam.jobs.places import PlaceNeed
 from crankseam.jobs.urgency import LONG_RUN_EVENTS
@@ -402,3 +403,22 @@
     running.cancel()
     placing.cancel()
     await asyncio.gather(running, placing, return_exceptions=True)
+
+
+async def test_a_place_for_a_move_is_given_back_when_the_sampler_ends(samplers, monkeypatch):
+    """The run would hold it during the whole delay before its next attempt."""
+    monkeypatch.setattr("crankseam.backoff.CRASH_RETRY_BASE_S", 100.0)
+    monkeypatch.setattr("crankseam.backoff.CRASH_RETRY_CAP_S", 100.0)
+    dispatcher, run = make_unlucky_run(samplers, 1)
+    registry = dispatcher._registry
+    need = PlaceNeed((0.0,), "m", 0, item=run.item.id)
+    granted = registry.of_service("llm")[2]
+    granted.occupy_slot()
+    run._migration = MigrationRequest("llm", need, 0, 1.0, granted)
+    placing = asyncio.create_task(dispatcher.run())
+    running = asyncio.create_task(run.run())
+    await eventually(lambda: samplers.attempts)
+    await eventually(lambda: all(one.in_flight == 0 for one in registry.of_service("llm")))
+    running.cancel()
+    placing.cancel()
+    await asyncio.gather(running, placing, return_exceptions=True)
