--- a/src/crankseam_standins/ports.py
+++ b/src/crankseam_standins/ports.py
@@ -18,7 +18,11 @@
 CANDIDATES = 12000
 """Number of ports directly below the ephemeral range from which a port is chosen."""
 SLICES = 24
-"""Number of slices of the candidates; a process assigns ports of one."""
+"""Number of slices of the candidates; a process assigns ports of one, and then of the next."""
+SLICE_PORTS = CANDIDATES // SLICES
+MAX_ASSIGNED_FRACTION = 0.5
+"""Fraction of a slice that a process assigns before it takes the next one: a free port is found by
+chance."""
 
 _assigned_ports: set[int] = set()
 
@@ -31,16 +35,17 @@
     """
     first = _first_ephemeral()
     while True:
-        port = _slice_start(first) + random.randrange(CANDIDATES // SLICES)
+        port = _slice_start(first) + random.randrange(SLICE_PORTS)
         if port not in _assigned_ports and _is_free(port):
             _assigned_ports.add(port)
             return port
 
 
 def _slice_start(first_ephemeral: int) -> int:
-    """First port of this process's slice."""
-    number = os.getpid() % SLICES
-    return first_ephemeral - CANDIDATES + number * (CANDIDATES // SLICES)
+    """First port of the slice from which this process assigns ports now."""
+    used_slices = int(len(_assigned_ports) / (SLICE_PORTS * MAX_ASSIGNED_FRACTION))
+    number = (os.getpid() + used_slices) % SLICES
+    return first_ephemeral - CANDIDATES + number * SLICE_PORTS
 
 
 def _first_ephemeral() -> int:
