--- a/src/crankseam_standins/ports.py
+++ b/src/crankseam_standins/ports.py
@@ -18,11 +18,9 @@
 CANDIDATES = 12000
 """Number of ports directly below the ephemeral range from which a port is chosen."""
 SLICES = 24
-"""Number of slices of the candidates; a process assigns ports of one, and then of the next."""
-SLICE_PORTS = CANDIDATES // SLICES
-MAX_ASSIGNED_FRACTION = 0.5
-"""Fraction of a slice that a process assigns before it takes the next one: a free port is found by
-chance."""
+"""Number of slices of the candidates; a process assigns ports of one, as long as it finds any."""
+TRIES_PER_SLICE = 16
+"""Ports of a slice that are tried before one of the next slice is."""
 
 _assigned_ports: set[int] = set()
 
@@ -33,21 +31,19 @@
     The kernel could assign a port of the ephemeral range to an outgoing connection between this
     call and the start of the listener.
     """
-    first = _first_ephemeral()
+    lowest = _first_ephemeral() - CANDIDATES
+    slice_ports = max(1, CANDIDATES // SLICES)
+    own_start = os.getpid() % SLICES * slice_ports
+    tries = 0
     while True:
-        port = _slice_start(first) + random.randrange(SLICE_PORTS)
+        start = own_start + tries // TRIES_PER_SLICE * slice_ports
+        tries += 1
+        port = lowest + (start + random.randrange(slice_ports)) % CANDIDATES
         if port not in _assigned_ports and _is_free(port):
             _assigned_ports.add(port)
             return port
 
 
-def _slice_start(first_ephemeral: int) -> int:
-    """First port of the slice from which this process assigns ports now."""
-    used_slices = int(len(_assigned_ports) / (SLICE_PORTS * MAX_ASSIGNED_FRACTION))
-    number = (os.getpid() + used_slices) % SLICES
-    return first_ephemeral - CANDIDATES + number * SLICE_PORTS
-
-
 def _first_ephemeral() -> int:
     try:
         return int(EPHEMERAL_RANGE.read_text(encoding="ascii").split()[0])
